Serve on real sockets: a gatekeeper round the module, on actix-http and awc

One program on a single-threaded actix runtime. A core task owns the module and is reached by a queue only; the frontend (actix-http), the dispatches (awc), the server table's watch and the counter sit round it. The settings object is now parsed in src/settings.rs alone, for the adapter as for the gatekeeper.

awc as it is cannot tell whether a request's last byte was written, so its connector hands out streams that report what they write to the exchange in progress (src/net/exchange.rs): a broken connection then maps to 'never ran' or 'may have run' in one place, src/net/ending.rs.

--- a/src/bin/lockfork-adapter/wire.rs
+++ b/src/bin/lockfork-adapter/wire.rs
@@ -1,15 +1,10 @@
 //! The simulator's wire: serde types and their conversion from and to the library's. Decides nothing.
 
+use lockfork::settings::{self, span};
 use lockfork::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// A span of the wire; what is negative or not finite counts as none.
-fn span(seconds: f64) -> Duration {
-    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::ZERO)
-}
 
 /// An enum value by its wire code; an unknown code counts as one that may have run.
 fn ending(code: i64) -> Ending {
@@ -34,69 +29,9 @@
 }
 
 wire! {
-    WireClass {
-        name: String,
-        aim_s: f64,
-        gain: f64,
-        late_worth: f64,
-        idempotency: String,
-        group: String,
-        window_s: f64,
-    }
-    WirePlan {
-        name: String,
-        per_second: f64,
-        most_at_once: f64,
-        at_once: f64,
-        ceiling_rate: f64,
-        ceiling_burst: f64,
-        tolerance: f64,
-        price: f64,
-        excess_worth: f64,
-        beyond_costs: f64,
-    }
-    WireFamily {
-        may_count: bool,
-        count_wait_s: f64,
-        post_paid: bool,
-        units_top: f64,
-    }
-    WireLimits {
-        cancel: bool,
-        may_duplicate: bool,
-        may_probe: bool,
-        max_attempts: f64,
-        retry_after: bool,
-        max_retry_after_s: f64,
-    }
-    WireReport {
-        how: String,
-    }
-    WireRules {
-        cold_share: f64,
-        tip_multiple: f64,
-        fall_s: f64,
-        warm_after_s: f64,
-    }
-    WireCharges {
-        cross_zone: f64,
-        probe: f64,
-    }
-    WireSettings {
-        replicas_of_me: f64,
-        zone: String,
-        classes: Vec<WireClass>,
-        tiers_of_service: Vec<WirePlan>,
-        family_info: WireFamily,
-        limits: WireLimits,
-        discovery: String,
-        load_report: WireReport,
-        rules: WireRules,
-        charges: WireCharges,
-    }
     WireStart {
         init_seed: Value,
-        boot_info: WireSettings,
+        boot_info: Value,
     }
     WireHost {
         host: String,
@@ -148,76 +83,6 @@
     }
 }
 
-impl WireSettings {
-    /// As the library wants them.
-    pub fn into_settings(self) -> Settings {
-        let whole = |x: f64| x as u32;
-        Settings {
-            replicas: whole(self.replicas_of_me),
-            zone: self.zone,
-            classes: self.classes.into_iter().map(class).collect(),
-            plans: self.tiers_of_service.into_iter().map(plan).collect(),
-            may_count: self.family_info.may_count,
-            count_wait: span(self.family_info.count_wait_s),
-            post_paid: self.family_info.post_paid,
-            units_top: self.family_info.units_top,
-            may_cancel: self.limits.cancel,
-            may_duplicate: self.limits.may_duplicate,
-            may_probe: self.limits.may_probe,
-            max_attempts: whole(self.limits.max_attempts),
-            retry_after: self.limits.retry_after,
-            max_retry_after: span(self.limits.max_retry_after_s),
-            on_request: self.discovery == "on_request",
-            load_reports: match self.load_report.how.as_str() {
-                "inline" => LoadReports::Inline,
-                "on_probe" => LoadReports::OnProbe,
-                _ => LoadReports::Off,
-            },
-            cold_share: self.rules.cold_share,
-            tip_multiple: self.rules.tip_multiple,
-            fall: span(self.rules.fall_s),
-            warm_after: span(self.rules.warm_after_s),
-            cross_zone_price: self.charges.cross_zone,
-            probe_price: self.charges.probe,
-        }
-    }
-}
-
-fn class(w: WireClass) -> Class {
-    let group = match w.group.as_str() {
-        "all" => KeyGroup::All,
-        "zone" => KeyGroup::Zone,
-        _ => KeyGroup::Cell,
-    };
-    Class {
-        name: w.name,
-        aim: span(w.aim_s),
-        gain: w.gain,
-        late_worth: w.late_worth,
-        idempotency: match w.idempotency.as_str() {
-            "repeatable" => Idempotency::Repeatable,
-            "by_key" => Idempotency::ByKey(group),
-            _ => Idempotency::Once,
-        },
-        key_window: span(w.window_s),
-    }
-}
-
-fn plan(w: WirePlan) -> Plan {
-    Plan {
-        name: w.name,
-        rate: w.per_second,
-        burst: w.most_at_once,
-        at_once: w.at_once as u32,
-        ceiling_rate: w.ceiling_rate,
-        ceiling_burst: w.ceiling_burst,
-        tolerance: w.tolerance,
-        price: w.price,
-        excess_worth: w.excess_worth,
-        beyond_costs: w.beyond_costs,
-    }
-}
-
 fn host_entry(w: WireHost) -> HostEntry {
     HostEntry {
         host: HostId(Arc::from(w.host)),
@@ -260,7 +125,7 @@
             let seed = w.init_seed.as_u64().or_else(|| w.init_seed.as_i64().map(|s| s as u64));
             return Ok(Message::Start(
                 seed.ok_or("'initSeed' is no integer")?,
-                Box::new(w.boot_info.into_settings()),
+                Box::new(settings::read(w.boot_info)?.0),
             ));
         }
         "PowerOff" => return Ok(Message::PowerOff),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,8 @@
 
 mod interface;
 mod rules;
+#[cfg(feature = "adapter")]
+pub mod settings;
 mod state;
 
 pub use interface::*;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,111 @@
+//! The gatekeeper: reads its configuration, joins the core and the sockets, and drains on SIGTERM. It must never
+//! decide on a request; that is the module's, in `src/rules.rs`.
+
+mod net;
+
+use lockfork::{settings, Gateway, ListScope, Settings};
+use net::core::{Clock, Core, Input};
+use net::server_table::{List, ServerTable};
+use net::{counter, dispatch, exchange, frontend, server_table, Platform};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Descriptors kept for everything but clients, nodes and the counter: files, the poller, discovery, slack.
+const SPARE_DESCRIPTORS: usize = 96;
+/// After SIGTERM new connections come for up to 0.4 s, and what comes within 0.7 s is to be served.
+const DRAIN_LEAST: Duration = Duration::from_millis(750);
+/// Connections to nodes are closed so much before the nodes close them.
+const IDLE_MARGIN: Duration = Duration::from_secs(3);
+
+#[derive(Deserialize)]
+struct Configuration {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    counter: Option<SocketAddr>,
+    seed: String,
+    limits: Limits,
+    known: List,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+fn configuration() -> Result<(Configuration, Settings, settings::SocketSettings), String> {
+    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_owned())?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    let mut c: Configuration = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+    let (decisions, sockets) = settings::read(c.settings.take()).map_err(|e| format!("{path}: {e}"))?;
+    if c.limits.sockets < 2 * SPARE_DESCRIPTORS {
+        return Err(format!("{path}: limits.sockets is under {}", 2 * SPARE_DESCRIPTORS));
+    }
+    if decisions.may_count && c.counter.is_none() {
+        return Err(format!("{path}: the settings allow a counter, but there is no 'counter' address"));
+    }
+    Ok((c, decisions, sockets))
+}
+
+async fn serve(c: Configuration, s: Settings, sockets: settings::SocketSettings) -> Result<(), String> {
+    let seed = u64::from_str_radix(&c.seed, 16).map_err(|e| format!("seed: {e}"))?;
+    let listener = actix_rt::net::TcpListener::bind(c.listen).await;
+    let listener = listener.map_err(|e| format!("{}: {e}", c.listen))?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+
+    let (queue, inputs) = tokio::sync::mpsc::unbounded_channel();
+    let table = Rc::new(ServerTable::default());
+    let known = c.known.rev();
+    let (_, entries) = table.apply(c.known);
+    let _ = queue.send(Input::ServerTable(ListScope::Restored, entries));
+
+    let budget = (c.limits.sockets - SPARE_DESCRIPTORS - counter::CONNECTIONS) / 2;
+    let idle = sockets.conn_idle.saturating_sub(IDLE_MARGIN).max(sockets.conn_idle / 2);
+    let nodes = Rc::new(exchange::Exchanger::new(sockets.dial_timeout, idle, budget));
+    let counter_at = c.counter.unwrap_or(c.discovery);
+    let platform = Platform {
+        dispatcher: dispatch::Dispatcher::new(Rc::clone(&nodes), Rc::clone(&table), queue.clone()),
+        counter: counter::Counter::new(counter_at, sockets.dial_timeout, sockets.count_wait, queue.clone()),
+    };
+    let frontend = frontend::Frontend::new(queue.clone(), Rc::clone(&table), budget, sockets.max_retry_after);
+    actix_rt::spawn(Rc::clone(&frontend).serve(listener));
+    actix_rt::spawn(server_table::watch(c.discovery, sockets.dial_timeout, known, table, queue.clone()));
+
+    let max_attempts = s.max_attempts;
+    let core = Core::new(Gateway::new(s, seed), Clock::start(), platform, queue.clone(), max_attempts);
+    let core = actix_rt::spawn(core.run(inputs));
+    tracing::info!(name = c.name, listen = %c.listen, "serving");
+
+    terminate.recv().await;
+    tracing::info!("SIGTERM: draining");
+    frontend.drain();
+    tokio::time::sleep(DRAIN_LEAST).await;
+    while frontend.busy() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let _ = queue.send(Input::Drain);
+    let _ = core.await;
+    tracing::info!("drained");
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env();
+    let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+    let served = configuration()
+        .and_then(|(c, decisions, sockets)| actix_rt::System::new().block_on(serve(c, decisions, sockets)));
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("lockfork: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,402 @@
+//! Owns the decisions: the one task that holds the module's [`Gateway`], the sessions and all timers. A queue is
+//! the only way in, the [`Ports`] are the only way out. It must never touch a socket, wait for one, or know a
+//! header, a path or a shape of JSON: whatever a front speaks, sessions come in and answers go out as here.
+
+use super::ending::{ConnectionEnd, Peer};
+use lockfork::{Action, CountName, CustomerId, Event, Gateway, HostEntry, HostId, ListScope, RequestId};
+use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::{mpsc, oneshot};
+
+/// A session is ended by the core itself so long after its client gave up, should nothing else have ended it.
+const OVERDUE: Duration = Duration::from_millis(5);
+
+/// The module's clock: Unix time, so that every gatekeeper has the same windows and a node's start can be told
+/// against it, but it never jumps.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    started: Instant,
+    at_start: Duration,
+}
+
+impl Clock {
+    /// Reads the system's clock once; from then on time only passes.
+    pub fn start() -> Self {
+        let at_start = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), at_start }
+    }
+
+    /// Time now.
+    pub fn now(&self) -> Duration {
+        self.at_start + self.started.elapsed()
+    }
+}
+
+/// What carries out decisions on the outside.
+pub trait Ports {
+    /// What a front hands in with a session; dispatches get it back untouched.
+    type Request;
+    /// A node's answer; the session's front gets it untouched.
+    type Reply;
+    /// Begins a dispatch; it reports exactly one [`Input::DispatchEnded`].
+    fn dispatch(&self, dispatch: Dispatch<Self::Request>);
+    /// Calls the counter; it reports exactly one [`Input::Counted`].
+    fn count(&self, call: CounterCall);
+    /// Closes the idle connections to a node.
+    fn close_idle(&self, node: &HostId);
+}
+
+/// One attempt of a session at a node.
+pub struct Dispatch<Q> {
+    /// The session.
+    pub id: RequestId,
+    /// Its number within the session, from 0.
+    pub number: u32,
+    /// The node, as the server table names it.
+    pub node: HostId,
+    /// What to send.
+    pub request: Rc<Q>,
+    /// How long to wait for the answer.
+    pub within: Duration,
+    /// Resolves when it is called off.
+    pub called_off: oneshot::Receiver<()>,
+}
+
+/// One call to the counter.
+pub struct CounterCall {
+    /// Name of the count.
+    pub name: CountName,
+    /// What to add.
+    pub amount: f64,
+    /// Life of a new name.
+    pub keep: Duration,
+}
+
+/// The final answer to a session.
+#[derive(Debug, PartialEq)]
+pub enum Answer<A> {
+    /// A node's answer.
+    Served(A),
+    /// Denied; trying again is harmless, after this time at best.
+    Denied(Option<Duration>),
+    /// Failed, with no promise.
+    Failed,
+    /// A session of this id is under way already.
+    Doubled,
+}
+
+/// A session as its front hands it in.
+pub struct NewSession<P: Ports> {
+    /// Its id.
+    pub id: RequestId,
+    /// Its class.
+    pub class: String,
+    /// Its customer's plan.
+    pub plan: String,
+    /// Its customer.
+    pub customer: CustomerId,
+    /// Until then its client waits.
+    pub deadline: Instant,
+    /// Units that it draws.
+    pub units: f64,
+    /// Gatekeepers through which its customer comes.
+    pub width: u32,
+    /// What dispatches send.
+    pub request: P::Request,
+    /// Takes the one answer.
+    pub reply: oneshot::Sender<Answer<P::Reply>>,
+}
+
+/// What the queue carries.
+pub enum Input<P: Ports> {
+    /// A session begins.
+    Session(Box<NewSession<P>>),
+    /// A session's client has left.
+    Departed(RequestId),
+    /// A dispatch has ended.
+    DispatchEnded {
+        /// Its session.
+        id: RequestId,
+        /// Its number.
+        number: u32,
+        /// Its node.
+        node: HostId,
+        /// How it ended.
+        end: ConnectionEnd,
+        /// The answer, where one is to be passed on.
+        reply: Option<P::Reply>,
+        /// Time since it began.
+        took: Duration,
+    },
+    /// A call to the counter has ended.
+    Counted {
+        /// Name of the count.
+        name: CountName,
+        /// How it ended.
+        end: ConnectionEnd,
+        /// The total, where told.
+        total: f64,
+        /// Time since the call.
+        took: Duration,
+    },
+    /// The server table has changed.
+    ServerTable(ListScope, Vec<HostEntry>),
+    /// Finish: the task ends once no session is left.
+    Drain,
+}
+
+/// The way into the queue.
+pub type Queue<P> = mpsc::UnboundedSender<Input<P>>;
+
+/// A session that is owed an answer or has a dispatch under way.
+struct Session<P: Ports> {
+    request: Rc<P::Request>,
+    reply: Option<oneshot::Sender<Answer<P::Reply>>>,
+    deadline: Duration,
+    overdue: (Duration, u64),
+    /// What calls each dispatch off, in the order they began.
+    dispatches: Vec<Option<oneshot::Sender<()>>>,
+}
+
+enum Timer {
+    Module(String),
+    Overdue(RequestId),
+}
+
+/// The state of the task.
+pub struct Core<P: Ports> {
+    gateway: Gateway,
+    clock: Clock,
+    ports: P,
+    queue: Queue<P>,
+    max_attempts: usize,
+    sessions: HashMap<RequestId, Session<P>>,
+    timers: BTreeMap<(Duration, u64), Timer>,
+    timers_set: u64,
+    draining: bool,
+    actions: Vec<Action>,
+}
+
+impl<P: Ports> Core<P> {
+    /// Takes over the module; `queue` leads back to this task.
+    pub fn new(gateway: Gateway, clock: Clock, ports: P, queue: Queue<P>, max_attempts: u32) -> Self {
+        Core {
+            gateway,
+            clock,
+            ports,
+            queue,
+            max_attempts: max_attempts as usize,
+            sessions: HashMap::new(),
+            timers: BTreeMap::new(),
+            timers_set: 0,
+            draining: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Serves the queue and the timers until drained.
+    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input<P>>) {
+        loop {
+            let wait = self.next_timer();
+            tokio::select! {
+                biased;
+                input = inputs.recv() => {
+                    let Some(input) = input else { return };
+                    self.take(input);
+                    // All that is ready is taken in one wake.
+                    while let Ok(input) = inputs.try_recv() {
+                        self.take(input);
+                    }
+                }
+                () = wait => {}
+            }
+            self.fire_timers();
+            if self.draining && self.sessions.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn next_timer(&self) -> impl Future<Output = ()> {
+        let now = self.clock.now();
+        let due = self.timers.first_key_value().map(|((at, _), _)| at.saturating_sub(now));
+        async move {
+            match due {
+                Some(due) => tokio::time::sleep(due).await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    fn fire_timers(&mut self) {
+        let now = self.clock.now();
+        while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
+            match entry.remove() {
+                Timer::Module(token) => self.handle(Event::Timer { token }),
+                Timer::Overdue(id) => self.overdue(id),
+            }
+        }
+    }
+
+    fn set_timer(&mut self, at: Duration, timer: Timer) -> (Duration, u64) {
+        self.timers_set += 1;
+        self.timers.insert((at, self.timers_set), timer);
+        (at, self.timers_set)
+    }
+
+    fn take(&mut self, input: Input<P>) {
+        match input {
+            Input::Session(session) => self.begin(*session),
+            Input::Departed(id) => self.depart(id),
+            Input::DispatchEnded { id, number, node, end, reply, took } => {
+                self.dispatch_ended(id, number, node, end, reply, took);
+            }
+            Input::Counted { name, end, total, took } => {
+                self.handle(Event::Counted { name, ending: end.ending(Peer::Counter), total, delay: took });
+            }
+            Input::ServerTable(scope, entries) => self.handle(Event::Hosts { scope, entries }),
+            Input::Drain => self.draining = true,
+        }
+    }
+
+    fn begin(&mut self, new: NewSession<P>) {
+        // Guards against two sessions of one id: the module takes no notice of the second, which would then
+        // never be answered.
+        if self.sessions.contains_key(&new.id) {
+            let _ = new.reply.send(Answer::Doubled);
+            return;
+        }
+        let now = self.clock.now();
+        let budget = new.deadline.saturating_duration_since(Instant::now());
+        let deadline = now + budget;
+        let overdue = self.set_timer(deadline + OVERDUE, Timer::Overdue(new.id.clone()));
+        let session = Session {
+            request: Rc::new(new.request),
+            reply: Some(new.reply),
+            deadline,
+            overdue,
+            dispatches: Vec::new(),
+        };
+        self.sessions.insert(new.id.clone(), session);
+        let (id, class, plan, customer) = (new.id, new.class, new.plan, new.customer);
+        self.handle(Event::Request { id, class, plan, customer, budget, units: new.units, width: new.width });
+    }
+
+    fn depart(&mut self, id: RequestId) {
+        // An answer that crossed the client's leaving has ended the session: then there is nothing to tell.
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if session.reply.take().is_some() {
+            self.handle(Event::Departed { id: id.clone() });
+            self.forget_if_over(&id);
+        }
+    }
+
+    /// Guards against a session that nothing ends: its client hears a failure rather than nothing.
+    fn overdue(&mut self, id: RequestId) {
+        if self.sessions.get(&id).is_some_and(|s| s.reply.is_some()) {
+            tracing::warn!(session = %id.0, "session overdue: failed by the core");
+            self.answer(&id, Answer::Failed);
+            self.handle(Event::Departed { id: id.clone() });
+            self.forget_if_over(&id);
+        }
+    }
+
+    fn dispatch_ended(
+        &mut self,
+        id: RequestId,
+        number: u32,
+        node: HostId,
+        end: ConnectionEnd,
+        reply: Option<P::Reply>,
+        took: Duration,
+    ) {
+        let ending = end.ending(Peer::Node);
+        tracing::debug!(session = %id.0, number, node = %node.0, ?end, ?took, "dispatch ended");
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.dispatches[number as usize] = None;
+        }
+        if let (lockfork::Ending::Ok, Some(reply)) = (ending, reply) {
+            self.answer(&id, Answer::Served(reply));
+        }
+        let done = self.sessions.get(&id).is_none_or(|s| s.reply.is_none());
+        let (delay, host) = (took, node);
+        self.handle(Event::Outcome { id: id.clone(), attempt: number, host, ending, done, delay, cost: 0.0 });
+        self.forget_if_over(&id);
+    }
+
+    fn answer(&mut self, id: &RequestId, answer: Answer<P::Reply>) {
+        if let Some(reply) = self.sessions.get_mut(id).and_then(|s| s.reply.take()) {
+            let _ = reply.send(answer);
+        }
+    }
+
+    fn forget_if_over(&mut self, id: &RequestId) {
+        let over = |s: &Session<P>| s.reply.is_none() && s.dispatches.iter().all(Option::is_none);
+        if self.sessions.get(id).is_some_and(over) {
+            if let Some(session) = self.sessions.remove(id) {
+                self.timers.remove(&session.overdue);
+            }
+        }
+    }
+
+    /// Tells the module and carries out what it decides.
+    fn handle(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.gateway.handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, host, timeout } => self.dispatch(id, host, timeout),
+            Action::Cancel { id, attempt } => {
+                let dispatches = self.sessions.get_mut(&id).map(|s| &mut s.dispatches);
+                // Dropping the sender calls the dispatch off; its end is still reported.
+                if let Some(call_off) = dispatches.and_then(|d| d.get_mut(attempt as usize)?.as_mut()) {
+                    let (unused, _) = oneshot::channel();
+                    let _ = std::mem::replace(call_off, unused).send(());
+                }
+            }
+            Action::Refuse { id, stay_away } => {
+                self.answer(&id, Answer::Denied(stay_away));
+                self.forget_if_over(&id);
+            }
+            Action::Fail { id } => {
+                self.answer(&id, Answer::Failed);
+                self.forget_if_over(&id);
+            }
+            Action::Count { name, amount, keep } => self.ports.count(CounterCall { name, amount, keep }),
+            Action::Close { host } => self.ports.close_idle(&host),
+            Action::Timer { after, token } => {
+                let at = self.clock.now() + after;
+                self.set_timer(at, Timer::Module(token));
+            }
+            // Nodes may not be probed here, and the server table is watched in any case.
+            Action::Probe { host } => tracing::warn!(node = %host.0, "probe not permitted: ignored"),
+            Action::Subscribe => {}
+        }
+    }
+
+    fn dispatch(&mut self, id: RequestId, node: HostId, timeout: Option<Duration>) {
+        let now = self.clock.now();
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let number = session.dispatches.len() as u32;
+        let left = session.deadline.saturating_sub(now);
+        let within = timeout.unwrap_or(left).min(left);
+        let over = session.reply.is_none() || left.is_zero() || session.dispatches.len() >= self.max_attempts;
+        let (call_off, called_off) = oneshot::channel();
+        session.dispatches.push(Some(call_off));
+        if over {
+            let (end, took) = (ConnectionEnd::NotBegun, Duration::ZERO);
+            let _ = self.queue.send(Input::DispatchEnded { id, number, node, end, reply: None, took });
+            return;
+        }
+        let request = Rc::clone(&session.request);
+        self.ports.dispatch(Dispatch { id, number, node, request, within, called_off });
+    }
+}
--- /dev/null
+++ b/src/net/dispatch.rs
@@ -0,0 +1,92 @@
+//! Owns the gatekeeper's side towards the drafting nodes: carries out a dispatch on a connection of its own and
+//! reports how it ended, exactly once. It must never choose a node, try again, or write to a node that the
+//! server table says drains or is gone.
+
+use super::core::{Dispatch, Input};
+use super::ending::ConnectionEnd;
+use super::exchange::{Bounds, Exchanger, Reply};
+use super::frontend::Forward;
+use super::server_table::ServerTable;
+use super::Inputs;
+use actix_http::StatusCode;
+use awc::http::uri::{Scheme, Uri};
+use bytes::Bytes;
+use lockfork::HostId;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What sends dispatches on.
+pub struct Dispatcher {
+    exchanger: Rc<Exchanger>,
+    table: Rc<ServerTable>,
+    queue: Inputs,
+}
+
+impl Dispatcher {
+    /// Sends on to the nodes of this table; ends are reported to this queue.
+    pub fn new(exchanger: Rc<Exchanger>, table: Rc<ServerTable>, queue: Inputs) -> Self {
+        Dispatcher { exchanger, table, queue }
+    }
+
+    /// Closes the idle connections to a node.
+    pub fn close_idle(&self, node: &HostId) {
+        if let Some(address) = self.table.address(node) {
+            self.exchanger.close_idle(address);
+        }
+    }
+
+    /// Begins a dispatch.
+    pub fn begin(&self, dispatch: Dispatch<Forward>) {
+        let (exchanger, table) = (Rc::clone(&self.exchanger), Rc::clone(&self.table));
+        let queue = self.queue.clone();
+        actix_rt::spawn(async move {
+            let Dispatch { id, number, node, request, within, called_off } = dispatch;
+            let began = Instant::now();
+            let called_off = async {
+                let _ = called_off.await;
+            };
+            let (end, reply) = run(&exchanger, &table, &node, &request, within, called_off).await;
+            let took = began.elapsed();
+            let _ = queue.send(Input::DispatchEnded { id, number, node, end, reply, took });
+        });
+    }
+}
+
+async fn run(
+    exchanger: &Exchanger,
+    table: &Rc<ServerTable>,
+    node: &HostId,
+    forward: &Forward,
+    within: Duration,
+    called_off: impl Future<Output = ()>,
+) -> (ConnectionEnd, Option<Bytes>) {
+    let Some(address) = table.address(node) else { return (ConnectionEnd::Withdrawn, None) };
+    let uri = Uri::builder()
+        .scheme(Scheme::HTTP)
+        .authority(address.to_string())
+        .path_and_query(forward.target.clone())
+        .build();
+    let Ok(uri) = uri else { return (ConnectionEnd::NotBegun, None) };
+    let request = exchanger
+        .client()
+        .request(forward.method.clone(), uri)
+        .insert_header(("request-id", forward.id.clone()))
+        .insert_header(("request-timeout", format!("{:.3}", within.as_secs_f64())));
+    let may_begin = {
+        let (table, node) = (Rc::clone(table), node.clone());
+        Box::new(move || table.takes_work(&node))
+    };
+    let bounds = Bounds { within, body: forward.body.len(), may_begin };
+    match exchanger.exchange(request, forward.body.clone(), bounds, called_off).await {
+        (ConnectionEnd::Answered, Some(reply)) => (ConnectionEnd::Answered, Some(reply.body)),
+        (ConnectionEnd::Declined, Some(reply)) if never_begun(&reply) => (ConnectionEnd::TurnedAway, None),
+        (end, _) => (end, None),
+    }
+}
+
+/// Only these statuses, and only with the node's word for it, prove that a request never ran.
+fn never_begun(reply: &Reply) -> bool {
+    let status = matches!(reply.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
+    status && reply.not_started
+}
--- /dev/null
+++ b/src/net/ending.rs
@@ -0,0 +1,67 @@
+//! Owns the one type for every way in which a connection to a node or to the counter can end, and the one
+//! function that maps it to the module's outcome. It must never look at a socket itself, and nothing else may
+//! build an [`Ending`]: whether a request ran or never ran is decided here alone.
+
+use lockfork::Ending;
+
+/// Who was at the other end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    /// A drafting node.
+    Node,
+    /// The quota counter.
+    Counter,
+}
+
+/// How a connection's one exchange ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// A whole answer of status 200.
+    Answered,
+    /// A whole answer that proves that nothing was begun.
+    TurnedAway,
+    /// A whole answer of any other status.
+    Declined,
+    /// What came back is no answer that can be read, or one that is too long.
+    Garbled,
+    /// The connection was refused, never came up, or broke before the last byte was written.
+    NeverWritten,
+    /// The connection broke or ended after the last byte was written.
+    Broken,
+    /// Waiting ended; was the last byte written by then?
+    TimedOut {
+        /// Was it?
+        written: bool,
+    },
+    /// The core called it off; was the last byte written by then?
+    CalledOff {
+        /// Was it?
+        written: bool,
+    },
+    /// Never begun: the session was over, its time was up, or it has used up its dispatches.
+    NotBegun,
+    /// Never begun: the server table told meanwhile that the node drains or is gone.
+    Withdrawn,
+}
+
+impl ConnectionEnd {
+    /// The module's outcome. A counter's call that may have been added must end as a time-out: that is the one
+    /// ending after which the module drops the amount instead of adding it again.
+    pub fn ending(self, peer: Peer) -> Ending {
+        match (self, peer) {
+            (ConnectionEnd::Answered, _) => Ending::Ok,
+            (ConnectionEnd::TurnedAway, _) => Ending::Full,
+            (ConnectionEnd::Declined, Peer::Node) => Ending::Error,
+            (ConnectionEnd::Declined, Peer::Counter) => Ending::Full,
+            (ConnectionEnd::Garbled, Peer::Node) => Ending::Error,
+            (ConnectionEnd::NeverWritten, _) => Ending::ConnectFailed,
+            (ConnectionEnd::Broken, Peer::Node) => Ending::Reset,
+            (ConnectionEnd::Garbled | ConnectionEnd::Broken, Peer::Counter) => Ending::Timeout,
+            (ConnectionEnd::TimedOut { written: true }, _) => Ending::Timeout,
+            (ConnectionEnd::TimedOut { written: false }, _) => Ending::ConnectFailed,
+            (ConnectionEnd::CalledOff { written: true }, _) => Ending::Cancelled,
+            (ConnectionEnd::CalledOff { written: false }, _) => Ending::Moot,
+            (ConnectionEnd::NotBegun | ConnectionEnd::Withdrawn, _) => Ending::Moot,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,43 @@
+//! The gatekeeper on real sockets. Sockets and the core meet in [`Platform`] alone: the platform's protocol on
+//! one side of it, the core's ports on the other.
+
+pub mod core;
+pub mod counter;
+pub mod dispatch;
+pub mod ending;
+pub mod exchange;
+pub mod frontend;
+pub mod server_table;
+
+use self::core::{CounterCall, Dispatch, Ports, Queue};
+use self::frontend::Forward;
+use bytes::Bytes;
+use lockfork::HostId;
+
+/// The platform's HTTP as the core's way out.
+pub struct Platform {
+    /// Towards the nodes.
+    pub dispatcher: dispatch::Dispatcher,
+    /// Towards the counter.
+    pub counter: counter::Counter,
+}
+
+/// The queue into the core.
+pub type Inputs = Queue<Platform>;
+
+impl Ports for Platform {
+    type Request = Forward;
+    type Reply = Bytes;
+
+    fn dispatch(&self, dispatch: Dispatch<Forward>) {
+        self.dispatcher.begin(dispatch);
+    }
+
+    fn count(&self, call: CounterCall) {
+        self.counter.call(call);
+    }
+
+    fn close_idle(&self, node: &HostId) {
+        self.dispatcher.close_idle(node);
+    }
+}
