--- a/src/bin/lockfork-adapter/main.rs
+++ b/src/bin/whinstall-simhost/main.rs
@@ -3,12 +3,12 @@
 
 mod wire;
 
-use lockfork::{Action, Gateway};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 use std::time::Duration;
+use whinstall::{Action, Gateway};
 use wire::{line, message, Line, Message};
 
 /// The instances of this process and the batch being read.
@@ -73,7 +73,7 @@
             }
             Message::Unknown => {
                 if self.named.insert(what.to_owned()) {
-                    eprintln!("lockfork-adapter: unknown event '{what}' skipped");
+                    eprintln!("whinstall-simhost: unknown event '{what}' skipped");
                 }
             }
         }
@@ -107,7 +107,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("lockfork-adapter: {message}");
+            eprintln!("whinstall-simhost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/lockfork-adapter/wire.rs
+++ b/src/bin/whinstall-simhost/wire.rs
@@ -1,10 +1,10 @@
 //! The simulator's wire: serde types and their conversion from and to the library's. Decides nothing.
 
-use lockfork::settings::{self, span};
-use lockfork::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::sync::Arc;
+use whinstall::settings::{self, span};
+use whinstall::*;
 
 /// An enum value by its wire code; an unknown code counts as one that may have run.
 fn ending(code: i64) -> Ending {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! **lockfork** decides for a gateway that keeps each customer of a shared back end to its plan: whether a
+//! **whinstall** decides for a gateway that keeps each customer of a shared back end to its plan: whether a
 //! request passes, which host gets it, how often it is tried, what the client hears.
 //!
 //! The mechanism is the global window count of Kong's GraphQL Rate Limiting Advanced plugin: a request is
@@ -9,7 +9,7 @@
 //! the time and carries out the [`Action`]s.
 //!
 //! ```
-//! use lockfork::*;
+//! use whinstall::*;
 //! use std::{sync::Arc, time::Duration};
 //!
 //! let secs = Duration::from_secs_f64;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,6 @@
 
 mod net;
 
-use lockfork::{settings, Gateway, ListScope, Settings};
 use net::core::{Clock, Core, Input};
 use net::server_table::{List, ServerTable};
 use net::{counter, dispatch, exchange, frontend, server_table, Platform};
@@ -14,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
+use whinstall::{settings, Gateway, ListScope, Settings};
 
 /// Descriptors kept for everything but clients, nodes and the counter: files, the poller, discovery, slack.
 const SPARE_DESCRIPTORS: usize = 96;
@@ -104,7 +104,7 @@
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("lockfork: {message}");
+            eprintln!("whinstall: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,12 +3,12 @@
 //! header, a path or a shape of JSON: whatever a front speaks, sessions come in and answers go out as here.
 
 use super::ending::{ConnectionEnd, Peer};
-use lockfork::{Action, CountName, CustomerId, Event, Gateway, HostEntry, HostId, ListScope, RequestId};
 use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{mpsc, oneshot};
+use whinstall::{Action, CountName, CustomerId, Event, Gateway, HostEntry, HostId, ListScope, RequestId};
 
 /// A session is ended by the core itself so long after its client gave up, should nothing else have ended it.
 const OVERDUE: Duration = Duration::from_millis(5);
@@ -317,7 +317,7 @@
         if let Some(session) = self.sessions.get_mut(&id) {
             session.dispatches[number as usize] = None;
         }
-        if let (lockfork::Ending::Ok, Some(reply)) = (ending, reply) {
+        if let (whinstall::Ending::Ok, Some(reply)) = (ending, reply) {
             self.answer(&id, Answer::Served(reply));
         }
         let done = self.sessions.get(&id).is_none_or(|s| s.reply.is_none());
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -7,12 +7,12 @@
 use super::exchange::{Bounds, Exchanger};
 use super::Inputs;
 use bytes::Bytes;
-use lockfork::CountName;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use whinstall::CountName;
 
 /// Connections held at most. The counter takes 32 and may still know of some that were just closed.
 pub const CONNECTIONS: usize = 24;
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -11,10 +11,10 @@
 use actix_http::StatusCode;
 use awc::http::uri::{Scheme, Uri};
 use bytes::Bytes;
-use lockfork::HostId;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use whinstall::HostId;
 
 /// What sends dispatches on.
 pub struct Dispatcher {
--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -2,7 +2,7 @@
 //! function that maps it to the module's outcome. It must never look at a socket itself, and nothing else may
 //! build an [`Ending`]: whether a request ran or never ran is decided here alone.
 
-use lockfork::Ending;
+use whinstall::Ending;
 
 /// Who was at the other end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -14,13 +14,13 @@
 use awc::http::uri::PathAndQuery;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use lockfork::{CustomerId, RequestId};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
+use whinstall::{CustomerId, RequestId};
 
 /// `Request-Timeout` runs from the client's send: this much of it has passed when a request is read, and the
 /// answer must be back before the rest has.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,7 +12,7 @@
 use self::core::{CounterCall, Dispatch, Ports, Queue};
 use self::frontend::Forward;
 use bytes::Bytes;
-use lockfork::HostId;
+use whinstall::HostId;
 
 /// The platform's HTTP as the core's way out.
 pub struct Platform {
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -7,7 +7,6 @@
 use super::exchange::{Bounds, Exchanger};
 use super::Inputs;
 use bytes::Bytes;
-use lockfork::{Availability, HostEntry, HostId, ListScope};
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -15,6 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use whinstall::{Availability, HostEntry, HostId, ListScope};
 
 /// A watch is answered after so long, changes or not. Short, as what is not heard counts as told 2 s after it.
 const WATCH: Duration = Duration::from_secs(5);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,9 +1,9 @@
 //! The module alone: no bench, no clock, fixed seeds.
 
-use lockfork::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use whinstall::*;
 
 fn secs(s: f64) -> Duration {
     Duration::from_secs_f64(s)
--- a/tests/adapter.rs
+++ b/tests/simhost.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lockfork-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_whinstall-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
