Tell stories over loopback sockets, and mend what they and a reading found

Found by reading, each now with a test or a comment at its place: - a Request-Timeout of 1e18 s overflowed the clock's addition and ended the connection's task (frontend.rs, read); - the drain waited for sessions but not for answers to be written out, and a request whose body never came whole could keep it waiting (frontend.rs, Slot); - should the core's task end, the program went on taking requests: it now exits with an error (main.rs); - the core ended at drain while late requests still came: it now lives as long as the program.

Twelve stories start the program; peers are scripted, ports ephemeral, nothing sleeps. Two unit tests hold what no story can show: the last byte written, and totals in call order.

--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,8 @@
 const SPARE_DESCRIPTORS: usize = 96;
 /// After SIGTERM new connections come for up to 0.4 s, and what comes within 0.7 s is to be served.
 const DRAIN_LEAST: Duration = Duration::from_millis(750);
+/// While draining, this often it is looked whether all answers are written out.
+const DRAIN_LOOK: Duration = Duration::from_millis(5);
 /// Connections to nodes are closed so much before the nodes close them.
 const IDLE_MARGIN: Duration = Duration::from_secs(3);
 
@@ -57,7 +59,9 @@
     let seed = u64::from_str_radix(&c.seed, 16).map_err(|e| format!("seed: {e}"))?;
     let listener = actix_rt::net::TcpListener::bind(c.listen).await;
     let listener = listener.map_err(|e| format!("{}: {e}", c.listen))?;
+    let listen = listener.local_addr().map_err(|e| format!("{}: {e}", c.listen))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
 
     let (queue, inputs) = tokio::sync::mpsc::unbounded_channel();
     let table = Rc::new(ServerTable::default());
@@ -79,18 +83,20 @@
 
     let max_attempts = s.max_attempts;
     let core = Core::new(Gateway::new(s, seed), Clock::start(), platform, queue.clone(), max_attempts);
-    let core = actix_rt::spawn(core.run(inputs));
-    tracing::info!(name = c.name, listen = %c.listen, "serving");
+    let mut core = actix_rt::spawn(core.run(inputs));
+    tracing::info!(name = c.name, %listen, "serving");
 
-    terminate.recv().await;
-    tracing::info!("SIGTERM: draining");
+    tokio::select! {
+        _ = terminate.recv() => tracing::info!("SIGTERM: draining"),
+        _ = interrupt.recv() => tracing::info!("SIGINT: draining"),
+        // Guards against a gatekeeper that takes requests with nobody left to decide on them.
+        _ = &mut core => return Err("the core has ended".into()),
+    }
     frontend.drain();
     tokio::time::sleep(DRAIN_LEAST).await;
     while frontend.busy() {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        tokio::time::sleep(DRAIN_LOOK).await;
     }
-    let _ = queue.send(Input::Drain);
-    let _ = core.await;
     tracing::info!("drained");
     Ok(())
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -143,8 +143,6 @@
     },
     /// The server table has changed.
     ServerTable(ListScope, Vec<HostEntry>),
-    /// Finish: the task ends once no session is left.
-    Drain,
 }
 
 /// The way into the queue.
@@ -175,7 +173,6 @@
     sessions: HashMap<RequestId, Session<P>>,
     timers: BTreeMap<(Duration, u64), Timer>,
     timers_set: u64,
-    draining: bool,
     actions: Vec<Action>,
 }
 
@@ -191,12 +188,11 @@
             sessions: HashMap::new(),
             timers: BTreeMap::new(),
             timers_set: 0,
-            draining: false,
             actions: Vec::new(),
         }
     }
 
-    /// Serves the queue and the timers until drained.
+    /// Serves the queue and the timers for as long as the program runs.
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input<P>>) {
         loop {
             let wait = self.next_timer();
@@ -213,9 +209,6 @@
                 () = wait => {}
             }
             self.fire_timers();
-            if self.draining && self.sessions.is_empty() {
-                return;
-            }
         }
     }
 
@@ -257,7 +250,6 @@
                 self.handle(Event::Counted { name, ending: end.ending(Peer::Counter), total, delay: took });
             }
             Input::ServerTable(scope, entries) => self.handle(Event::Hosts { scope, entries }),
-            Input::Drain => self.draining = true,
         }
     }
 
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -73,7 +73,7 @@
         let life = call.keep.as_millis().clamp(1, 60_000);
         let url = format!("http://{}/counters/{name}?by={amount}&expire_ms={life}", self.address);
         let request = self.exchanger.client().post(url);
-        let bounds = Bounds { within, body: 0, may_begin: Box::new(|| true) };
+        let bounds = Bounds { within, may_begin: Box::new(|| true) };
         match self.exchanger.exchange(request, Bytes::new(), bounds, std::future::pending()).await {
             (ConnectionEnd::Answered, Some(reply)) => match total(&reply.body) {
                 Some(total) => (ConnectionEnd::Answered, total),
@@ -95,3 +95,48 @@
     let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_' | ':');
     name.chars().map(|c| if plain(c) { c } else { '_' }).collect()
 }
+
+#[cfg(test)]
+#[path = "../../tests/common/peer.rs"]
+#[allow(dead_code)]
+mod peer;
+
+#[cfg(test)]
+mod tests {
+    use super::peer::{held, Peer, Reply};
+    use super::*;
+
+    /// Guards against totals that come back out of call order: on two connections the later call of a name can
+    /// overtake the earlier one.
+    #[test]
+    fn calls_of_one_name_wait_for_each_other_and_for_no_other_name() {
+        let (say, first) = held();
+        let first = std::sync::Mutex::new(Some(first));
+        let peer = Peer::start(move |call| match call.start.contains("/a?by=1&") {
+            true => first.lock().expect("whole").take().unwrap_or(Reply::Hangup),
+            false => Reply::Ok("7"),
+        });
+        actix_rt::System::new().block_on(async {
+            let (queue, mut inputs) = tokio::sync::mpsc::unbounded_channel();
+            let wait = Duration::from_secs(30);
+            let counter = Counter::new(peer.address, wait, wait, queue);
+            for (name, amount) in [("a", 1.0), ("a", -2.5), ("b", 1.0)] {
+                let name = CountName(name.into());
+                counter.call(CounterCall { name, amount, keep: Duration::from_secs(4) });
+            }
+            let mut told = Vec::new();
+            for _ in 0..3 {
+                let Some(Input::Counted { name, end, total, .. }) = inputs.recv().await else {
+                    panic!("no answer")
+                };
+                if told.is_empty() {
+                    assert_eq!(peer.requests().len(), 2);
+                    say.send("1".into()).expect("the counter hears");
+                }
+                told.push(format!("{} {end:?} {total}", name.0));
+            }
+            assert_eq!(told, ["b Answered 7", "a Answered 1", "a Answered 7"]);
+            assert_eq!(peer.requests(), ["POST /counters/a?by=-2.5&expire_ms=4000 []"]);
+        });
+    }
+}
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -77,7 +77,7 @@
         let (table, node) = (Rc::clone(table), node.clone());
         Box::new(move || table.takes_work(&node))
     };
-    let bounds = Bounds { within, body: forward.body.len(), may_begin };
+    let bounds = Bounds { within, may_begin };
     match exchanger.exchange(request, forward.body.clone(), bounds, called_off).await {
         (ConnectionEnd::Answered, Some(reply)) => (ConnectionEnd::Answered, Some(reply.body)),
         (ConnectionEnd::Declined, Some(reply)) if never_begun(&reply) => (ConnectionEnd::TurnedAway, None),
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -47,6 +47,18 @@
 }
 
 impl Mark {
+    /// One at the start of a request with a body of this length.
+    fn new(body: usize, may_begin: Box<dyn Fn() -> bool>) -> Self {
+        Mark {
+            body_left: Cell::new(body),
+            head_end: Cell::new(0),
+            written: Cell::new(false),
+            begun: Cell::new(false),
+            may_begin,
+            socket: RefCell::default(),
+        }
+    }
+
     /// Takes note of bytes that the socket has taken.
     fn note(&self, bytes: &[u8]) {
         if self.written.get() {
@@ -260,8 +272,6 @@
 pub struct Bounds {
     /// Waiting ends then.
     pub within: Duration,
-    /// Length of the body that is sent.
-    pub body: usize,
     /// Asked as the first byte is about to be written.
     pub may_begin: Box<dyn Fn() -> bool>,
 }
@@ -311,14 +321,7 @@
         bounds: Bounds,
         called_off: impl Future<Output = ()>,
     ) -> (ConnectionEnd, Option<Reply>) {
-        let mark = Rc::new(Mark {
-            body_left: Cell::new(bounds.body),
-            head_end: Cell::new(0),
-            written: Cell::new(false),
-            begun: Cell::new(false),
-            may_begin: bounds.may_begin,
-            socket: RefCell::default(),
-        });
+        let mark = Rc::new(Mark::new(body.len(), bounds.may_begin));
         let sent = CURRENT.scope(Rc::clone(&mark), async move {
             // No body is not an empty body: a request without one goes on as it came.
             let sent = if body.is_empty() { request.send() } else { request.send_body(body) };
@@ -393,3 +396,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a `once` request repeated wrongly: it has not run for certain until its last byte is out.
+    #[test]
+    fn a_request_is_written_with_its_last_byte_and_no_sooner() {
+        let request = b"POST /issue HTTP/1.1\r\nA: \r\r\n\r\nbo\r\n\r\ndy";
+        for step in 1..request.len() {
+            let mark = Mark::new(8, Box::new(|| true));
+            let (whole, last) = request.split_at(request.len() - 1);
+            whole.chunks(step).for_each(|part| mark.note(part));
+            assert!(!mark.written.get());
+            mark.note(last);
+            assert!(mark.written.get());
+        }
+    }
+}
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -25,6 +25,8 @@
 /// `Request-Timeout` runs from the client's send: this much of it has passed when a request is read, and the
 /// answer must be back before the rest has.
 const ON_THE_WAY: Duration = Duration::from_millis(5);
+/// Nobody waits longer.
+const TIMEOUT_MOST: Duration = Duration::from_secs(3600);
 /// Connections beyond the budget that are still taken, to be denied and closed.
 const CROWD: usize = 48;
 
@@ -49,17 +51,27 @@
     connections: Cell<usize>,
     freed: tokio::sync::Notify,
     draining: Cell<bool>,
-    under_way: Cell<usize>,
+    busy: Cell<usize>,
 }
 
-/// Counts one connection while it is open.
+/// One open connection.
 struct Slot {
     frontend: Rc<Frontend>,
     crowded: bool,
+    /// Is a session on it, or its last answer still to be written out?
+    busy: Cell<bool>,
+}
+
+impl Slot {
+    fn set_busy(&self, busy: bool) {
+        let count = &self.frontend.busy;
+        count.set(count.get() + usize::from(busy) - usize::from(self.busy.replace(busy)));
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        self.set_busy(false);
         self.frontend.connections.set(self.frontend.connections.get() - 1);
         self.frontend.freed.notify_one();
     }
@@ -76,7 +88,6 @@
         if let Some(id) = self.id.take() {
             let _ = self.frontend.queue.send(Input::Departed(id));
         }
-        self.frontend.under_way.set(self.frontend.under_way.get() - 1);
     }
 }
 
@@ -94,7 +105,7 @@
             connections: Cell::new(0),
             freed: tokio::sync::Notify::new(),
             draining: Cell::new(false),
-            under_way: Cell::new(0),
+            busy: Cell::new(0),
         })
     }
 
@@ -103,9 +114,10 @@
         self.draining.set(true);
     }
 
-    /// Is any request being read or answered?
+    /// Is any session under way, or an answer not yet written out? A request of which a part is still to come
+    /// is not taken, and keeps nobody waiting.
     pub fn busy(&self) -> bool {
-        self.under_way.get() > 0
+        self.busy.get() > 0
     }
 
     /// Takes connections for as long as the program runs.
@@ -121,7 +133,11 @@
             .on_connect_ext(move |_: &TcpStream, data| {
                 let count = on_connect.connections.get() + 1;
                 on_connect.connections.set(count);
-                data.insert(Slot { frontend: Rc::clone(&on_connect), crowded: count > on_connect.most });
+                data.insert(Slot {
+                    frontend: Rc::clone(&on_connect),
+                    crowded: count > on_connect.most,
+                    busy: Cell::new(false),
+                });
             })
             .h1(fn_service(move |request: Request| {
                 let frontend = Rc::clone(&on_request);
@@ -157,7 +173,6 @@
     /// Answers one request.
     async fn answer(&self, mut request: Request) -> Response<Bytes> {
         let arrived = Instant::now();
-        self.under_way.set(self.under_way.get() + 1);
         let mut presence = Presence { frontend: self, id: None };
         if request.path() == "/ready" {
             let ready = self.table.can_serve() && !self.draining.get();
@@ -179,9 +194,16 @@
             }
         };
         presence.id = Some(session.id.clone());
+        if let Some(slot) = request.conn_data::<Slot>() {
+            slot.set_busy(true);
+        }
         let _ = self.queue.send(Input::Session(Box::new(session)));
         let answer = answer.await.unwrap_or(Answer::Failed);
         presence.id = None;
+        // While draining the connection stays busy until the answer is written out and it closes.
+        if let Some(slot) = request.conn_data::<Slot>().filter(|_| !self.draining.get()) {
+            slot.set_busy(false);
+        }
         match answer {
             Answer::Served(body) => self.finish(Response::build(StatusCode::OK), body),
             Answer::Denied(after) => {
@@ -223,7 +245,8 @@
         let plan = text("x-contract").ok_or(bad("no X-Contract"))?;
         let seconds = text("request-timeout").and_then(|t| t.parse::<f64>().ok());
         let timeout = seconds.filter(|s| *s >= 0.0).and_then(|s| Duration::try_from_secs_f64(s).ok());
-        let timeout = timeout.ok_or(bad("no usable Request-Timeout"))?;
+        // Guards against a figure that no clock can add.
+        let timeout = timeout.ok_or(bad("no usable Request-Timeout"))?.min(TIMEOUT_MOST);
         let (units, width) = text("x-metering").and_then(metering).ok_or(bad("no usable X-Metering"))?;
         let customer = request.uri().query().and_then(customer).ok_or(bad("no usable client"))?;
         let target = request.uri().path_and_query().cloned().ok_or(bad("no path"))?;
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -140,7 +140,7 @@
             None => (base.clone(), LIST),
             Some(rev) => (format!("{base}?after={rev}&wait_ms={}", WATCH.as_millis()), WATCH + WATCH_SLACK),
         };
-        let bounds = Bounds { within, body: 0, may_begin: Box::new(|| true) };
+        let bounds = Bounds { within, may_begin: Box::new(|| true) };
         let call =
             exchanger.exchange(exchanger.client().get(url), Bytes::new(), bounds, std::future::pending());
         let (end, reply) = call.await;
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,146 @@
+//! The shared helper of the socket tests: the gatekeeper as a process and scripted peers round it, all on
+//! loopback and ephemeral ports. Waiting is always for something that happens, with one bound for all of it.
+
+mod peer;
+
+pub use peer::*;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// A counter that adds up for one name as for all others: enough where one customer asks.
+pub fn counter() -> Peer {
+    Peer::start(|_| Reply::Ok("1"))
+}
+
+/// A node's line on discovery's list.
+pub fn node(uid: &str, address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"hall-a","model":"std","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+    )
+}
+
+/// Discovery's answer.
+pub fn list(rev: u32, all: bool, nodes: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, nodes.join(","))
+}
+
+/// The gatekeeper's process.
+pub struct Gatekeeper {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Gatekeeper {
+    /// Starts it before these nodes, with a counter and with a discovery that has nothing to add.
+    pub fn before(nodes: &[&Peer]) -> Gatekeeper {
+        let lines: Vec<_> =
+            nodes.iter().enumerate().map(|(n, p)| node(&format!("n{n}"), p.address, "SERVING")).collect();
+        let whole = list(1, true, &lines);
+        let known = whole.clone();
+        let discovery = Peer::start(move |call| match call.start.contains("after=") {
+            true => Reply::Silence,
+            false => Reply::Raw(ok(&whole)),
+        });
+        Gatekeeper::start(&known, discovery.address, counter().address, 1024)
+    }
+
+    /// Starts it with all of its surroundings.
+    pub fn start(known: &str, discovery: SocketAddr, counter: SocketAddr, sockets: u32) -> Gatekeeper {
+        let settings = include_str!("settings.json");
+        let mut child = Gatekeeper::spawn(&format!(
+            r#"{{"name":"g0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"counter":"{counter}","known":{known},"settings":{settings}}}"#
+        ));
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
+        let line = log.by_ref().find(|l| l.contains("serving")).expect("it says where it serves");
+        let address = line.split("listen=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
+        // Its log is read to the end: a full pipe would hold it up.
+        std::thread::spawn(move || log.for_each(drop));
+        Gatekeeper { child, address }
+    }
+
+    /// Starts the program with this configuration.
+    pub fn spawn(configuration: &str) -> Child {
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("configuration-{}.json", unique()));
+        std::fs::write(&path, configuration).expect("a file");
+        Command::new(env!("CARGO_BIN_EXE_whinstall"))
+            .env("ROUTER_CONFIG", &path)
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the gatekeeper starts")
+    }
+
+    pub fn connect(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("it listens");
+        stream.set_read_timeout(Some(BOUND)).expect("a bound");
+        Client(BufReader::new(stream))
+    }
+
+    pub fn sigterm(&self) {
+        let killed = Command::new("kill").arg(self.child.id().to_string()).status();
+        assert!(killed.expect("kill runs").success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        self.child.wait().expect("it exits")
+    }
+}
+
+impl Drop for Gatekeeper {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn unique() -> usize {
+    static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed)
+}
+
+/// A client's connection.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    /// Writes as it stands.
+    pub fn write(&mut self, text: &str) -> &mut Self {
+        self.0.get_mut().write_all(text.as_bytes()).expect("it takes it");
+        self
+    }
+
+    /// Sends a preview: repeatable.
+    pub fn preview(&mut self, id: &str) -> &mut Self {
+        self.write(&format!(
+            "GET /preview/a%20b?client=00000000b4d65521&x=1 HTTP/1.1\r\n{}\r\n",
+            headers(id, "preview", "4")
+        ))
+    }
+
+    /// Sends an issue: once.
+    pub fn issue(&mut self, id: &str, body: &str) -> &mut Self {
+        let (headers, length) = (headers(id, "issue", "6"), body.len());
+        self.write(&format!(
+            "POST /issue?client=00000000b4d65521 HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    /// The next answer.
+    pub fn answer(&mut self) -> Message {
+        Message::read(&mut self.0).expect("an answer")
+    }
+
+    /// Is the connection closed with nothing more said?
+    pub fn closed(&mut self) -> bool {
+        Message::read(&mut self.0).is_none()
+    }
+}
+
+/// The headers of a session.
+pub fn headers(id: &str, class: &str, timeout: &str) -> String {
+    format!(
+        "Host: api.internal\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\nX-Contract: standard\r\nRequest-Timeout: {timeout}\r\nX-Metering: units=1,spread=1,first=0\r\n"
+    )
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,251 @@
+//! The gatekeeper as a process, over loopback sockets against scripted peers: a story for each failure met.
+
+mod common;
+
+use common::*;
+use insta::assert_snapshot;
+
+const READY: &str = "GET /ready HTTP/1.1\r\nHost: api.internal\r\n\r\n";
+
+fn lines(lines: impl IntoIterator<Item = String>) -> String {
+    lines.into_iter().collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn requests_and_answers_pass_unchanged() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let gatekeeper = Gatekeeper::before(&[&node]);
+    let mut client = gatekeeper.connect();
+    let heard = [client.preview("r1").answer(), client.issue("r2", "{\"n\": 1}").answer()].map(|a| a.brief());
+    let sent = [node.request(), node.request()];
+    let ids = sent.iter().map(|m| m.header("request-id").unwrap_or("none").to_owned());
+    assert_snapshot!(lines(heard.into_iter().chain(sent.iter().map(Message::brief)).chain(ids)), @r#"
+    200 OK [drafted]
+    200 OK [drafted]
+    GET /preview/a%20b?client=00000000b4d65521&x=1 []
+    POST /issue?client=00000000b4d65521 [{"n": 1}]
+    r1
+    r2
+    "#);
+}
+
+#[test]
+fn malformed_requests_never_reach_the_module() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let gatekeeper = Gatekeeper::before(&[&node]);
+    let whole =
+        format!("GET /preview?client=00000000b4d65521 HTTP/1.1\r\n{}\r\n", headers("r1", "preview", "4"));
+    let spoilt = [
+        "nonsense\r\n\r\n".to_owned(),
+        whole.replace("Request-Id: r1\r\n", ""),
+        whole.replace("client=00000000b4d65521", "client=5"),
+        whole.replace("Request-Timeout: 4", "Request-Timeout: NaN"),
+        whole.replace("units=1,", ""),
+        whole
+            .replace("GET", "POST")
+            .replace("\r\n\r\n", &format!("\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70000))),
+    ];
+    let statuses = spoilt.map(|text| gatekeeper.connect().write(&text).answer().start);
+    assert_snapshot!(lines(statuses), @"
+    HTTP/1.1 400 Bad Request
+    HTTP/1.1 400 Bad Request
+    HTTP/1.1 400 Bad Request
+    HTTP/1.1 400 Bad Request
+    HTTP/1.1 400 Bad Request
+    HTTP/1.1 413 Payload Too Large
+    ");
+    // A time-out that no clock can add once ended the core.
+    let endless = whole.replace("Request-Timeout: 4", "Request-Timeout: 1e18");
+    assert_eq!(gatekeeper.connect().write(&endless).answer().body, "drafted");
+    assert_eq!(node.requests().len(), 1);
+}
+
+/// Whether a `once` request ran hangs on what came back, and on how much was written.
+#[test]
+fn a_once_request_goes_on_only_where_it_never_ran() {
+    let refused = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
+    for (reply, status, sends) in [
+        (Reply::Hangup, "HTTP/1.1 502 Bad Gateway", 1),
+        (Reply::Raw("HTTP/1.1 two hundred\r\n\r\n".into()), "HTTP/1.1 502 Bad Gateway", 1),
+        (Reply::Raw(format!("{refused}\r\n")), "HTTP/1.1 502 Bad Gateway", 1),
+        (Reply::Raw(format!("{refused}Not-Started: 1\r\n\r\n")), "HTTP/1.1 200 OK", 2),
+    ] {
+        // The first send of all goes wrong, wherever it goes.
+        let first = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+        let node = || {
+            let (first, reply) = (first.clone(), reply.clone());
+            Peer::start(move |_| match first.swap(false, std::sync::atomic::Ordering::Relaxed) {
+                true => reply.clone(),
+                false => Reply::Ok("issued"),
+            })
+        };
+        let (a, b) = (node(), node());
+        let gatekeeper = Gatekeeper::before(&[&a, &b]);
+        let answer = gatekeeper.connect().issue("r1", "contract").answer();
+        assert_eq!((answer.start.as_str(), a.requests().len() + b.requests().len()), (status, sends));
+    }
+}
+
+#[test]
+fn a_node_that_refuses_connections_costs_a_once_request_nothing() {
+    let unused =
+        std::net::TcpListener::bind("127.0.0.77:0").expect("a port").local_addr().expect("an address");
+    let node = Peer::start(|_| Reply::Ok("issued"));
+    let known =
+        list(1, true, &[common::node("n0", unused, "SERVING"), common::node("n1", node.address, "SERVING")]);
+    let gatekeeper = Gatekeeper::start(&known, unused, counter().address, 1024);
+    let mut client = gatekeeper.connect();
+    for id in ["r1", "r2", "r3", "r4", "r5"] {
+        assert_eq!(client.issue(id, "contract").answer().body, "issued");
+    }
+}
+
+/// A second copy must not be out beside the first: its connection ends while the second is still unanswered.
+#[test]
+fn a_silent_node_sees_the_end_of_a_dispatch_before_the_next_is_answered() {
+    let (say, second) = held();
+    let replies = std::sync::Mutex::new(vec![second, Reply::Silence]);
+    let node = Peer::start(move |_| replies.lock().expect("whole").pop().unwrap_or(Reply::Hangup));
+    let gatekeeper = Gatekeeper::before(&[&node]);
+    let mut client = gatekeeper.connect();
+    client.preview("r1");
+    let mut seen = [node.next(), node.next(), node.next()].map(|s| matches!(s, Seen::Closed));
+    seen.sort_unstable();
+    assert_eq!(seen, [false, false, true]);
+    say.send("drafted".into()).expect("the node hears");
+    assert_eq!(client.answer().body, "drafted");
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_dispatch() {
+    let node = Peer::start(|_| Reply::Silence);
+    let gatekeeper = Gatekeeper::before(&[&node]);
+    let mut client = gatekeeper.connect();
+    client.issue("r1", "contract");
+    node.request();
+    drop(client);
+    assert!(matches!(node.next(), Seen::Closed));
+}
+
+#[test]
+fn what_the_module_gives_up_is_denied_at_once_with_advice() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let gatekeeper = Gatekeeper::before(&[&node]);
+    let mut client = gatekeeper.connect();
+    let denied = (0..40).map(|n| client.preview(&format!("r{n}")).answer()).find(|a| a.body.is_empty());
+    let denied = denied.expect("the quota ends");
+    let advice: f64 = denied.header("retry-after").and_then(|s| s.parse().ok()).expect("advice");
+    assert_eq!(denied.start, "HTTP/1.1 503 Service Unavailable");
+    assert!(advice > 0.0 && advice <= 0.5, "{advice}");
+}
+
+#[test]
+fn a_silent_counter_holds_nothing_up_for_long() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let known = list(1, true, &[common::node("n0", node.address, "SERVING")]);
+    let silent = Peer::start(|_| Reply::Silence);
+    let gatekeeper = Gatekeeper::start(&known, silent.address, silent.address, 1024);
+    let mut client = gatekeeper.connect();
+    let answers = (0..20).map(|n| client.preview(&format!("r{n}")).answer().start);
+    assert!(answers.filter(|a| a == "HTTP/1.1 200 OK").count() >= 5);
+}
+
+#[test]
+fn the_watch_survives_and_drains_are_kept() {
+    let (a, b) = (Peer::start(|_| Reply::Ok("a")), Peer::start(|_| Reply::Ok("b")));
+    let (say, next) = held();
+    let answers = std::sync::Mutex::new(vec![
+        Reply::Raw("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{\"re".into()),
+        Reply::Hangup,
+        Reply::Raw(ok(&list(
+            7,
+            true,
+            &[node("n0", a.address, "SERVING"), node("n1", a.address, "DRAINING")],
+        ))),
+        next.clone(),
+        next,
+    ]);
+    let discovery = Peer::start(move |_| {
+        let mut answers = answers.lock().expect("whole");
+        if answers.is_empty() {
+            Reply::Silence
+        } else {
+            answers.remove(0)
+        }
+    });
+    let known = list(1, true, &[node("n0", b.address, "DRAINING")]);
+    let gatekeeper = Gatekeeper::start(&known, discovery.address, counter().address, 1024);
+    let targets = |n: usize| lines((0..n).map(|_| discovery.request().start));
+    // A torn answer and a hang-up, then the whole list; the next call shows that it was taken over.
+    assert_snapshot!(targets(4), @"
+    GET /v1/endpoints HTTP/1.1
+    GET /v1/endpoints HTTP/1.1
+    GET /v1/endpoints HTTP/1.1
+    GET /v1/endpoints?after=7&wait_ms=5000 HTTP/1.1
+    ");
+    let mut client = gatekeeper.connect();
+    assert_eq!(client.preview("r1").answer().body, "a");
+    // n0 is at another address now.
+    say.send(list(8, false, &[node("n0", b.address, "SERVING")])).expect("discovery hears");
+    assert_snapshot!(targets(1), @"GET /v1/endpoints?after=8&wait_ms=5000 HTTP/1.1");
+    assert_eq!(client.preview("r2").answer().body, "b");
+    // Now it drains, and nothing is left to send to.
+    say.send(list(9, false, &[node("n0", b.address, "DRAINING")])).expect("discovery hears");
+    assert_snapshot!(targets(1), @"GET /v1/endpoints?after=9&wait_ms=5000 HTTP/1.1");
+    assert_eq!(client.preview("r3").answer().start, "HTTP/1.1 503 Service Unavailable");
+    assert_eq!((a.requests().len(), b.requests().len()), (1, 1));
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken() {
+    let (say, reply) = held();
+    let reply = std::sync::Mutex::new(Some(reply));
+    let node = Peer::start(move |_| reply.lock().expect("whole").take().unwrap_or(Reply::Ok("late")));
+    let mut gatekeeper = Gatekeeper::before(&[&node]);
+    let (mut taken, mut idle) = (gatekeeper.connect(), gatekeeper.connect());
+    taken.issue("r1", "contract");
+    node.request();
+    gatekeeper.sigterm();
+    // Readiness tells that the signal has arrived; what comes then is served all the same.
+    while gatekeeper.connect().write(READY).answer().start.contains("200") {}
+    let late = gatekeeper.connect().preview("r2").answer();
+    let kept = idle.preview("r3").answer();
+    say.send("issued".into()).expect("the node hears");
+    let answer = taken.answer();
+    let told = [&late, &kept, &answer].map(|a| format!("{} {:?}", a.brief(), a.header("connection")));
+    assert_snapshot!(lines(told), @r#"
+    200 OK [late] Some("close")
+    200 OK [late] Some("close")
+    200 OK [issued] Some("close")
+    "#);
+    assert!(taken.closed() && idle.closed());
+    assert!(gatekeeper.exit().success());
+}
+
+#[test]
+fn near_the_limit_of_descriptors_clients_are_denied() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let known = list(1, true, &[common::node("n0", node.address, "SERVING")]);
+    let gatekeeper = Gatekeeper::start(&known, counter().address, counter().address, 192);
+    // 36 connections are within the budget: all of them are served, the next is not.
+    let mut clients: Vec<_> = (0..36).map(|_| gatekeeper.connect()).collect();
+    let ready = |c: &mut Client| c.write(READY).answer().start;
+    let told: Vec<_> = clients.iter_mut().map(ready).collect();
+    assert!(told.iter().all(|s| s == "HTTP/1.1 200 OK"), "{told:?}");
+    let mut crowded = gatekeeper.connect();
+    let denied = crowded.preview("r1").answer();
+    assert_eq!(
+        (denied.start.as_str(), denied.header("retry-after")),
+        ("HTTP/1.1 503 Service Unavailable", Some("0.500"))
+    );
+    assert!(crowded.closed());
+    assert_eq!(clients[0].preview("r2").answer().body, "drafted");
+}
+
+#[test]
+fn bad_configuration_is_a_plain_message() {
+    let output = Gatekeeper::spawn("{\"name\":\"g0\"}").wait_with_output().expect("it exits");
+    let message = String::from_utf8(output.stderr).expect("UTF-8");
+    assert_eq!(output.status.code(), Some(1));
+    assert!(message.starts_with("whinstall: ") && message.contains("missing field `listen`"), "{message}");
+}
