Tell every refused client when to come back, and refuse what may run again

At fault in src/rules.rs: admit passes 0 or less where a ceiling, a missing plan or an oversized cost refuses, and refuse then dropped the advice; again failed whatever may have run, whichever its class.

No gain is claimed.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -583,16 +583,8 @@
             let cut = timeout > 0.0 && timeout < left && (timeout < to_aim || class.late_worth <= 0.0);
             let timeout = cut.then(|| span(timeout));
             actions.push(Action::Send { id: id.clone(), host: host.clone(), timeout });
-            r.attempts.push(Attempt {
-                host,
-                out: true,
-                may_have_run: false,
-                sent: now,
-                work,
-                zone,
-                group,
-                idle,
-            });
+            let (out, may_have_run, sent) = (true, false, now);
+            r.attempts.push(Attempt { host, out, may_have_run, sent, work, zone, group, idle });
             self.out += 1;
             self.opened(&r.customer.clone(), 1.0);
         }
@@ -625,13 +617,15 @@
         let Some(r) = self.requests.get(id) else { return };
         let class = &self.s.classes[r.class];
         let in_time = self.now < r.arrived + class.aim.as_secs_f64() || class.late_worth > 0.0;
+        let repeatable = class.idempotency == Idempotency::Repeatable;
         if in_time && self.retries >= 1.0 && self.send(id, actions) {
             self.retries -= 1.0;
             return;
         }
         let (id, Some(r)) = (id.clone(), self.requests.remove(id)) else { return };
-        let may_have_run = r.attempts.iter().any(|a| a.may_have_run);
-        let answer = if may_have_run { Action::Fail { id } } else { self.refuse(id, self.mean_latency()) };
+        // What may run again is given up with a refusal: its client hears when to come back.
+        let spent = !repeatable && r.attempts.iter().any(|a| a.may_have_run);
+        let answer = if spent { Action::Fail { id } } else { self.refuse(id, self.mean_latency()) };
         actions.push(answer);
     }
 
@@ -787,6 +781,8 @@
 
     /// The final answer to what is given up, at once; clients that hear it are told when to come back.
     fn refuse(&self, id: RequestId, seconds: f64) -> Action {
+        // Where nothing tells when there will be room: once what is out now has ended.
+        let seconds = if seconds > 0.0 { seconds } else { self.mean_latency() };
         let away = span(seconds).min(self.s.max_retry_after);
         Action::Refuse { id, stay_away: Some(away).filter(|away| self.s.retry_after && !away.is_zero()) }
     }
