Send a cold host nothing on the strength of warm hosts that are gone

Seen by reading, then by a test: cold_rate in src/rules.rs divides the recent load by the size of the warm hosts, floored at 1e-9.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -379,7 +379,9 @@
     /// the warmth: under the multiple at any load.
     fn cold_rate(&self, h: &Host) -> f64 {
         let limit = self.s.tip_multiple.clamp(0.5, 2.0) / 2.0;
-        self.sent.rate(self.now, FLOW_S) * h.nominal / self.warm_size.max(1e-9) * self.warmth(h) * limit
+        // No warm host left: none shows what this one can take, and it gets nothing.
+        let warm = if self.warm_size > 0.0 { self.warm_size } else { f64::INFINITY };
+        self.sent.rate(self.now, FLOW_S) * h.nominal / warm * self.warmth(h) * limit
     }
 
     /// What a cold host's store holds now; nothing before warm hosts have shown a rate.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -316,6 +316,25 @@
     assert!((3..=25).contains(&got), "{got}");
 }
 
+/// With the warm hosts gone at once, their load over no warm size once gave a cold one an endless budget.
+#[test]
+fn a_cold_host_alone_is_not_sent_the_load_of_the_fleet() {
+    let mut b = Bench::new(settings(), 4);
+    for _ in 0..200 {
+        b.now += 0.005;
+        assert!(b.serve("free", "c", 1.0, 2));
+    }
+    let cold = HostEntry { last_start: Some(secs(b.now)), ..entry(9, Availability::Ready) };
+    b.list(ListScope::Replace, vec![cold]);
+    let mut sends = 0;
+    for _ in 0..200 {
+        b.now += 0.005;
+        sends += usize::from(sent(&b.ask("read", "free", "c", 1.0, 2)).is_some());
+    }
+    // In that second a host of the four took 50 requests; this one is at a fifth of its capacity.
+    assert!(sends <= 10, "{sends}");
+}
+
 #[test]
 fn ceilings_hold_with_every_gateway_at_its_share_and_after_restarts() {
     let (rate, burst, tolerance) = (40.0, 60.0, 8.0);
