--- a/src/main.rs
+++ b/src/main.rs
@@ -41,21 +41,26 @@
     sockets: usize,
 }
 
-fn configuration() -> Result<(Configuration, Settings, settings::SocketSettings), String> {
-    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_owned())?;
-    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    let mut c: Configuration = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
-    let (decisions, sockets) = settings::read(c.settings.take()).map_err(|e| format!("{path}: {e}"))?;
+type Told = (Configuration, Settings, settings::SocketSettings);
+
+fn configuration(path: &str) -> Result<Told, String> {
+    let text = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+    usable(&text).map_err(|why| format!("{path}: {why}"))
+}
+
+fn usable(text: &[u8]) -> Result<Told, String> {
+    let mut c: Configuration = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let (decisions, sockets) = settings::read(c.settings.take())?;
     if c.limits.sockets < 2 * SPARE_DESCRIPTORS {
-        return Err(format!("{path}: limits.sockets is under {}", 2 * SPARE_DESCRIPTORS));
+        return Err(format!("limits.sockets is under {}", 2 * SPARE_DESCRIPTORS));
     }
     if decisions.may_count && c.counter.is_none() {
-        return Err(format!("{path}: the settings allow a counter, but there is no 'counter' address"));
+        return Err("the settings allow a counter, but there is no 'counter' address".into());
     }
     Ok((c, decisions, sockets))
 }
 
-async fn serve(c: Configuration, s: Settings, sockets: settings::SocketSettings) -> Result<(), String> {
+async fn serve((c, s, sockets): Told) -> Result<(), String> {
     let seed = u64::from_str_radix(&c.seed, 16).map_err(|e| format!("seed: {e}"))?;
     let listener = actix_rt::net::TcpListener::bind(c.listen).await;
     let listener = listener.map_err(|e| format!("{}: {e}", c.listen))?;
@@ -105,8 +110,9 @@
     let filter = tracing_subscriber::EnvFilter::try_from_default_env();
     let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
-    let served = configuration()
-        .and_then(|(c, decisions, sockets)| actix_rt::System::new().block_on(serve(c, decisions, sockets)));
+    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_owned());
+    let told = path.and_then(|path| configuration(&path));
+    let served = told.and_then(|told| actix_rt::System::new().block_on(serve(told)));
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
@@ -115,3 +121,13 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    /// The example must go on being one.
+    #[test]
+    fn the_example_configuration_is_usable() {
+        let told = super::usable(include_bytes!("../example/config.json"));
+        assert_eq!(told.map(|(c, s, _)| (c.name, s.plans.len())), Ok(("g0".to_owned(), 2)));
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -80,7 +80,7 @@
     }
 
     pub fn sigterm(&self) {
-        let killed = Command::new("kill").arg(self.child.id().to_string()).status();
+        let killed = Command::new("/bin/sh").arg("-c").arg(format!("kill {}", self.child.id())).status();
         assert!(killed.expect("kill runs").success());
     }
 
