Report every dispatch and counter call exactly once, even should its task panic

Seen by reading: a panic in the client library ends only its task, and then no end is reported: the session waits for its deadline, its node keeps work in the books, and later calls of a counter's name line up behind nothing. Ends are now reported by the drop of a Report, as 'may have run' unless the exchange said otherwise (dispatch.rs, counter.rs).

Checked with scripted nodes: five garbled answers are each one 502 and one send. One of them, status 101, was answered only when its time was up (1.999 s), as awc waits for the stream behind it: it now ends at once (exchange.rs). A unit test holds that nothing is written to a node that drains while its connection comes up, nor past the limit.

--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -46,22 +46,52 @@
             return;
         }
         self.0.lines.borrow_mut().insert(call.name.clone(), VecDeque::new());
-        let inner = Rc::clone(&self.0);
+        let line = Line { inner: Rc::clone(&self.0), name: call.name.clone() };
         actix_rt::spawn(async move {
-            let name = call.name.clone();
             let mut next = Some((call, now));
             while let Some((call, at)) = next {
-                let (end, total) = inner.exchange(&call, at).await;
-                let (name, took) = (call.name, at.elapsed());
-                tracing::debug!(name = %name.0, amount = call.amount, ?end, total, ?took, "counter call ended");
-                let _ = inner.queue.send(Input::Counted { name: name.clone(), end, total, took });
-                next = inner.lines.borrow_mut().get_mut(&name).and_then(VecDeque::pop_front);
+                // Stands unless the call ends otherwise, a panic in it included: it may have been added.
+                let mut report = Report { line: &line, at, end: ConnectionEnd::Broken, total: 0.0 };
+                (report.end, report.total) = line.inner.exchange(&call, at).await;
+                drop(report);
+                next = line.inner.lines.borrow_mut().get_mut(&line.name).and_then(VecDeque::pop_front);
             }
-            inner.lines.borrow_mut().remove(&name);
         });
     }
 }
 
+/// The calls of one name, while one of them is out.
+struct Line {
+    inner: Rc<Inner>,
+    name: CountName,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        // Nobody is left in it but after a panic; whoever is was never sent.
+        let left = self.inner.lines.borrow_mut().remove(&self.name);
+        for (_, at) in left.into_iter().flatten() {
+            drop(Report { line: self, at, end: ConnectionEnd::NotBegun, total: 0.0 });
+        }
+    }
+}
+
+/// Reports a call's end when it is dropped, so exactly once.
+struct Report<'a> {
+    line: &'a Line,
+    at: Instant,
+    end: ConnectionEnd,
+    total: f64,
+}
+
+impl Drop for Report<'_> {
+    fn drop(&mut self) {
+        let (name, end, total, took) = (self.line.name.clone(), self.end, self.total, self.at.elapsed());
+        tracing::debug!(name = %name.0, ?end, total, ?took, "counter call ended");
+        let _ = self.line.inner.queue.send(Input::Counted { name, end, total, took });
+    }
+}
+
 impl Inner {
     async fn exchange(&self, call: &CounterCall, at: Instant) -> (ConnectionEnd, f64) {
         let within = self.wait.saturating_sub(at.elapsed());
@@ -96,15 +126,10 @@
     name.chars().map(|c| if plain(c) { c } else { '_' }).collect()
 }
 
-#[cfg(test)]
-#[path = "../../tests/common/peer.rs"]
-#[allow(dead_code)]
-mod peer;
-
 #[cfg(test)]
 mod tests {
-    use super::peer::{held, Peer, Reply};
     use super::*;
+    use crate::net::peer::{held, Peer, Reply};
 
     /// Guards against totals that come back out of call order: on two connections the later call of a name can
     /// overtake the earlier one.
--- a/src/net/dispatch.rs
+++ b/src/net/dispatch.rs
@@ -14,7 +14,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use whinstall::HostId;
+use whinstall::{HostId, RequestId};
 
 /// What sends dispatches on.
 pub struct Dispatcher {
@@ -39,16 +39,41 @@
     /// Begins a dispatch.
     pub fn begin(&self, dispatch: Dispatch<Forward>) {
         let (exchanger, table) = (Rc::clone(&self.exchanger), Rc::clone(&self.table));
-        let queue = self.queue.clone();
+        let Dispatch { id, number, node, request, within, called_off } = dispatch;
+        let (queue, began) = (self.queue.clone(), Instant::now());
+        let report = Report { queue, id, number, node, began, end: ConnectionEnd::Broken, reply: None };
         actix_rt::spawn(async move {
-            let Dispatch { id, number, node, request, within, called_off } = dispatch;
-            let began = Instant::now();
             let called_off = async {
                 let _ = called_off.await;
             };
-            let (end, reply) = run(&exchanger, &table, &node, &request, within, called_off).await;
-            let took = began.elapsed();
-            let _ = queue.send(Input::DispatchEnded { id, number, node, end, reply, took });
+            let mut report = report;
+            let ended = run(&exchanger, &table, &report.node, &request, within, called_off).await;
+            (report.end, report.reply) = ended;
+        });
+    }
+}
+
+/// Reports a dispatch's end when it is dropped, so exactly once. Guards against a session that waits for ever:
+/// should the task panic, the dispatch has ended as one that may have run.
+struct Report {
+    queue: Inputs,
+    id: RequestId,
+    number: u32,
+    node: HostId,
+    began: Instant,
+    end: ConnectionEnd,
+    reply: Option<Bytes>,
+}
+
+impl Drop for Report {
+    fn drop(&mut self) {
+        let _ = self.queue.send(Input::DispatchEnded {
+            id: self.id.clone(),
+            number: self.number,
+            node: self.node.clone(),
+            end: self.end,
+            reply: self.reply.take(),
+            took: self.began.elapsed(),
         });
     }
 }
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -327,6 +327,10 @@
             let sent = if body.is_empty() { request.send() } else { request.send_body(body) };
             let mut answer = sent.await.map_err(Failure::of)?;
             let status = answer.status();
+            // After such a status awc would wait for a stream that never ends.
+            if status.is_informational() {
+                return Err(Failure::Garbled);
+            }
             let not_started = answer.headers().get("not-started").is_some_and(|v| v.as_bytes() == b"1");
             let body = answer.body().limit(BODY_MOST).await.map_err(Failure::of_body)?;
             Ok(Reply { status, not_started, body })
@@ -400,6 +404,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::net::peer::{Peer, Reply, BOUND};
 
     /// Guards against a `once` request repeated wrongly: it has not run for certain until its last byte is out.
     #[test]
@@ -414,4 +419,21 @@
             assert!(mark.written.get());
         }
     }
+
+    /// Guards the nodes that drain while a connection comes up, and the limit on descriptors.
+    #[test]
+    fn nothing_is_written_without_leave_or_without_room() {
+        let peer = Peer::start(|_| Reply::Ok("drafted"));
+        let end = |most, leave| {
+            actix_rt::System::new().block_on(async {
+                let exchanger = Exchanger::new(BOUND, BOUND, most);
+                let request = exchanger.client().get(format!("http://{}/preview", peer.address));
+                let bounds = Bounds { within: BOUND, may_begin: Box::new(move || leave) };
+                exchanger.exchange(request, Bytes::new(), bounds, std::future::pending()).await.0
+            })
+        };
+        assert_eq!((end(1, false), end(0, true)), (ConnectionEnd::Withdrawn, ConnectionEnd::NeverWritten));
+        assert_eq!(peer.requests().len(), 0);
+        assert_eq!((end(1, true), peer.requests().len()), (ConnectionEnd::Answered, 1));
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,11 @@
 pub mod frontend;
 pub mod server_table;
 
+#[cfg(test)]
+#[path = "../../tests/common/peer.rs"]
+#[allow(dead_code)]
+mod peer;
+
 use self::core::{CounterCall, Dispatch, Ports, Queue};
 use self::frontend::Forward;
 use bytes::Bytes;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -63,13 +63,21 @@
 /// Whether a `once` request ran hangs on what came back, and on how much was written.
 #[test]
 fn a_once_request_goes_on_only_where_it_never_ran() {
+    let garbled = [
+        "HTTP/1.1 two hundred\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\nissued",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nsix\r\nissued\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        &ok(&"x".repeat(70_000)),
+    ];
+    let garbled = garbled.map(|text| (Reply::Raw(text.into()), "HTTP/1.1 502 Bad Gateway", 1));
     let refused = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
-    for (reply, status, sends) in [
+    let told = [
         (Reply::Hangup, "HTTP/1.1 502 Bad Gateway", 1),
-        (Reply::Raw("HTTP/1.1 two hundred\r\n\r\n".into()), "HTTP/1.1 502 Bad Gateway", 1),
         (Reply::Raw(format!("{refused}\r\n")), "HTTP/1.1 502 Bad Gateway", 1),
         (Reply::Raw(format!("{refused}Not-Started: 1\r\n\r\n")), "HTTP/1.1 200 OK", 2),
-    ] {
+    ];
+    for (reply, status, sends) in garbled.into_iter().chain(told) {
         // The first send of all goes wrong, wherever it goes.
         let first = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
         let node = || {
