--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -392,3 +392,56 @@
         self.ports.dispatch(Dispatch { id, number, node, request, within, called_off });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use whinstall::{settings, Availability};
+
+    /// Ports that swallow every dispatch: its end is never reported.
+    struct Silence;
+
+    impl Ports for Silence {
+        type Request = ();
+        type Reply = ();
+        fn dispatch(&self, _: Dispatch<()>) {}
+        fn count(&self, _: CounterCall) {}
+        fn close_idle(&self, _: &HostId) {}
+    }
+
+    /// Guards against a session that nothing ends.
+    #[test]
+    fn a_session_that_nothing_ends_is_failed_when_its_time_is_up() {
+        let told = serde_json::from_str(include_str!("../../tests/common/settings.json"));
+        let (settings, _) = settings::read(told.expect("JSON")).expect("settings");
+        let node = HostEntry {
+            host: HostId("n0".into()),
+            zone: "hall-a".into(),
+            group: 0,
+            kind: "std".into(),
+            availability: Availability::Ready,
+            nominal: 1.0,
+            last_start: None,
+        };
+        let answer = actix_rt::System::new().block_on(async {
+            let (queue, inputs) = mpsc::unbounded_channel();
+            let core = Core::new(Gateway::new(settings, 7), Clock::start(), Silence, queue.clone(), 5);
+            actix_rt::spawn(core.run(inputs));
+            let (reply, answer) = oneshot::channel();
+            let _ = queue.send(Input::ServerTable(ListScope::Restored, vec![node]));
+            let _ = queue.send(Input::Session(Box::new(NewSession {
+                id: RequestId("r1".into()),
+                class: "issue".into(),
+                plan: "standard".into(),
+                customer: CustomerId("c".into()),
+                deadline: Instant::now() + Duration::from_millis(200),
+                units: 1.0,
+                width: 1,
+                request: (),
+                reply,
+            })));
+            answer.await
+        });
+        assert_eq!(answer, Ok(Answer::Failed));
+    }
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -135,6 +135,20 @@
     assert!(matches!(node.next(), Seen::Closed));
 }
 
+/// The module takes no notice of a second session of the same id, which once would have waited for ever.
+#[test]
+fn a_second_session_of_one_id_is_turned_back() {
+    let (say, reply) = held();
+    let node = Peer::start(move |_| reply.clone());
+    let gatekeeper = Gatekeeper::before(&[&node]);
+    let mut first = gatekeeper.connect();
+    first.issue("r1", "contract");
+    node.request();
+    assert_eq!(gatekeeper.connect().issue("r1", "contract").answer().start, "HTTP/1.1 409 Conflict");
+    say.send("issued".into()).expect("the node hears");
+    assert_eq!((first.answer().body.as_str(), node.requests().len()), ("issued", 0));
+}
+
 #[test]
 fn what_the_module_gives_up_is_denied_at_once_with_advice() {
     let node = Peer::start(|_| Reply::Ok("drafted"));
