Make room for a connection by closing only the one idle longest

At fault: Registry::make_room closed every idle connection where one was enough, each then opened again by a handshake (src/net/exchange.rs). Now the one that stood idle longest gives way. The new unit test fails on the old code.

--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -188,10 +188,16 @@
         });
     }
 
-    /// Makes room for one more connection, if need be by closing an idle one.
+    /// Makes room for one more connection, if need be by closing the one that stood idle longest. Closing all
+    /// idle ones cost a handshake each soon after.
     fn make_room(&self) -> bool {
         if self.open.get() >= self.most {
-            self.close_idle(|_| true);
+            let sockets = self.sockets.borrow();
+            let idle = sockets.iter().filter_map(Weak::upgrade);
+            let idle = idle.filter(|s| !s.busy.get() && s.stream.borrow().is_some());
+            if let Some(oldest) = idle.min_by_key(|s| s.used.get()) {
+                oldest.close();
+            }
         }
         self.open.get() < self.most
     }
@@ -436,4 +442,23 @@
         assert_eq!(peer.requests().len(), 0);
         assert_eq!((end(1, true), peer.requests().len()), (ConnectionEnd::Answered, 1));
     }
+
+    /// Guards live connections where room is short: only the one that stood idle longest gives way.
+    #[test]
+    fn room_is_made_by_the_connection_that_stood_idle_longest() {
+        let peers = [(); 3].map(|()| Peer::start(|_| Reply::Ok("drafted")));
+        actix_rt::System::new().block_on(async {
+            let exchanger = Exchanger::new(BOUND, BOUND, 2);
+            for peer in &peers {
+                let request = exchanger.client().get(format!("http://{}/preview", peer.address));
+                let bounds = Bounds { within: BOUND, may_begin: Box::new(|| true) };
+                let end = exchanger.exchange(request, Bytes::new(), bounds, std::future::pending()).await.0;
+                assert_eq!(end, ConnectionEnd::Answered);
+            }
+            let sockets = exchanger.registry.sockets.borrow();
+            let open = sockets.iter().filter_map(Weak::upgrade).filter(|s| s.stream.borrow().is_some());
+            let open: Vec<_> = open.map(|s| s.peer).collect();
+            assert_eq!(open, [peers[1].address, peers[2].address]);
+        });
+    }
 }
