Serve clients on actix-http's codec: reject by the settings, make room by the silent

At fault: frontend.rs handed any class, plan, unit and spread on; accept stopped at budget plus 48; main.rs kept 96 spare descriptors, which left clients 68 of 256, under their third. Read in actix-http's dispatcher: it decodes ahead up to 16 pipelined requests and goes on with them after an error, drains chunked bodies of any size, has a clock for the first head only, and drops a request's future when unreadable bytes follow it. So its codec serves each connection here, one request at a time.

Session ids: a second client of an open id that left ended the first one's session (Presence bore that id); core.rs now ends only a session whose own answer nobody waits for, with a test that failed before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -17,8 +17,10 @@
 use tokio::sync::watch;
 use whinstall::{settings, Gateway, ListScope, Settings};
 
+/// The fewest descriptors that a gatekeeper can work with.
+const LEAST_DESCRIPTORS: usize = 128;
 /// Descriptors kept for everything but clients, nodes and the counter: files, the poller, discovery, slack.
-const SPARE_DESCRIPTORS: usize = 96;
+const SPARE_DESCRIPTORS: usize = 32;
 /// After SIGTERM new connections come for up to 0.4 s, and what comes within 0.7 s is to be served.
 const DRAIN_LEAST: Duration = Duration::from_millis(750);
 /// While draining, this often it is looked whether all answers are written out.
@@ -52,6 +54,23 @@
     }
 }
 
+/// Who may hold how many descriptors.
+#[derive(Debug, PartialEq)]
+struct Budget {
+    clients: usize,
+    counter: usize,
+    nodes: usize,
+}
+
+impl Budget {
+    /// Clients may hold a third for requests, and have some room beside that for those that say nothing.
+    fn of(sockets: usize) -> Self {
+        let clients = sockets * 2 / 5;
+        let counter = (sockets / 16).min(counter::CONNECTIONS);
+        Budget { clients, counter, nodes: sockets - SPARE_DESCRIPTORS - counter - clients }
+    }
+}
+
 type Told = (Configuration, Settings, settings::SocketSettings);
 
 fn configuration(path: &str) -> Result<Told, String> {
@@ -62,8 +81,8 @@
 fn usable(text: &[u8]) -> Result<Told, String> {
     let c: Configuration = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let (decisions, sockets) = settings::read(c.settings.clone())?;
-    if c.limits.sockets < 2 * SPARE_DESCRIPTORS {
-        return Err(format!("limits.sockets is under {}", 2 * SPARE_DESCRIPTORS));
+    if c.limits.sockets < LEAST_DESCRIPTORS {
+        return Err(format!("limits.sockets is under {LEAST_DESCRIPTORS}"));
     }
     if decisions.may_count && c.counter.is_none() {
         return Err("the settings allow a counter, but there is no 'counter' address".into());
@@ -116,18 +135,31 @@
     let (_, entries) = table.apply(c.known);
     let _ = queue.send(Input::ServerTable(ListScope::Restored, entries));
 
-    let budget = (c.limits.sockets - SPARE_DESCRIPTORS - counter::CONNECTIONS) / 2;
+    let budget = Budget::of(c.limits.sockets);
     let idle = sockets.conn_idle.saturating_sub(IDLE_MARGIN).max(sockets.conn_idle / 2);
-    let nodes = Rc::new(exchange::Exchanger::new(sockets.dial_timeout, idle, budget));
+    let nodes = Rc::new(exchange::Exchanger::new(sockets.dial_timeout, idle, budget.nodes));
     let counter_at = c.counter.unwrap_or(c.discovery);
-    let counter = counter::Counter::new(counter_at, sockets.dial_timeout, sockets.count_wait, queue.clone());
+    let counter = counter::Counter::new(
+        counter_at,
+        sockets.dial_timeout,
+        sockets.count_wait,
+        budget.counter,
+        queue.clone(),
+    );
     let (discovery, discovery_at) = watch::channel(c.discovery);
     actix_rt::spawn(reload(hangup, path, fixed, counter.clone(), discovery));
     let platform = Platform {
         dispatcher: dispatch::Dispatcher::new(Rc::clone(&nodes), Rc::clone(&table), queue.clone()),
         counter,
     };
-    let frontend = frontend::Frontend::new(queue.clone(), Rc::clone(&table), budget, sockets.max_retry_after);
+    let terms = frontend::Terms::of(&s);
+    let frontend = frontend::Frontend::new(
+        queue.clone(),
+        Rc::clone(&table),
+        terms,
+        budget.clients,
+        sockets.max_retry_after,
+    );
     actix_rt::spawn(Rc::clone(&frontend).serve(listener));
     let dial = sockets.dial_timeout;
     actix_rt::spawn(server_table::watch(discovery_at, dial, known, table, nodes, queue.clone()));
@@ -170,6 +202,16 @@
 
 #[cfg(test)]
 mod tests {
+    /// Guards against descriptors that run out, and against clients shut out of the third that is theirs.
+    #[test]
+    fn the_budget_holds_and_clients_have_their_third() {
+        for sockets in [super::LEAST_DESCRIPTORS, 192, 256, 384, 1024] {
+            let b = super::Budget::of(sockets);
+            assert_eq!(b.clients + b.counter + b.nodes + super::SPARE_DESCRIPTORS, sockets);
+            assert!(b.clients > sockets / 3 + 4 && b.nodes >= sockets / 5 && b.counter >= 8, "{b:?}");
+        }
+    }
+
     /// The example must go on being one.
     #[test]
     fn the_example_configuration_is_usable() {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -277,9 +277,10 @@
     }
 
     fn depart(&mut self, id: RequestId) {
-        // An answer that crossed the client's leaving has ended the session: then there is nothing to tell.
+        // An answer that crossed the client's leaving has ended the session: then there is nothing to tell. And
+        // one whose answer is still waited for is another client's, which only has the same id.
         let Some(session) = self.sessions.get_mut(&id) else { return };
-        if session.reply.take().is_some() {
+        if session.reply.take_if(|reply| reply.is_closed()).is_some() {
             self.handle(Event::Departed { id: id.clone() });
             self.forget_if_over(&id);
         }
@@ -409,9 +410,8 @@
         fn close_idle(&self, _: &HostId) {}
     }
 
-    /// Guards against a session that nothing ends.
-    #[test]
-    fn a_session_that_nothing_ends_is_failed_when_its_time_is_up() {
+    /// Starts a core before a node that swallows everything; returns the way in.
+    fn start() -> Queue<Silence> {
         let told = serde_json::from_str(include_str!("../../tests/common/settings.json"));
         let (settings, _) = settings::read(told.expect("JSON")).expect("settings");
         let node = HostEntry {
@@ -423,25 +423,46 @@
             nominal: 1.0,
             last_start: None,
         };
-        let answer = actix_rt::System::new().block_on(async {
-            let (queue, inputs) = mpsc::unbounded_channel();
-            let core = Core::new(Gateway::new(settings, 7), Clock::start(), Silence, queue.clone(), 5);
-            actix_rt::spawn(core.run(inputs));
-            let (reply, answer) = oneshot::channel();
-            let _ = queue.send(Input::ServerTable(ListScope::Restored, vec![node]));
-            let _ = queue.send(Input::Session(Box::new(NewSession {
-                id: RequestId("r1".into()),
-                class: "issue".into(),
-                plan: "standard".into(),
-                customer: CustomerId("c".into()),
-                deadline: Instant::now() + Duration::from_millis(500),
-                units: 1.0,
-                width: 1,
-                request: (),
-                reply,
-            })));
-            answer.await
-        });
+        let (queue, inputs) = mpsc::unbounded_channel();
+        let core = Core::new(Gateway::new(settings, 7), Clock::start(), Silence, queue.clone(), 5);
+        actix_rt::spawn(core.run(inputs));
+        let _ = queue.send(Input::ServerTable(ListScope::Restored, vec![node]));
+        queue
+    }
+
+    fn ask(queue: &Queue<Silence>) -> oneshot::Receiver<Answer<()>> {
+        let (reply, answer) = oneshot::channel();
+        let _ = queue.send(Input::Session(Box::new(NewSession {
+            id: RequestId("r1".into()),
+            class: "issue".into(),
+            plan: "standard".into(),
+            customer: CustomerId("c".into()),
+            deadline: Instant::now() + Duration::from_millis(500),
+            units: 1.0,
+            width: 1,
+            request: (),
+            reply,
+        })));
+        answer
+    }
+
+    /// Guards against a session that nothing ends.
+    #[test]
+    fn a_session_that_nothing_ends_is_failed_when_its_time_is_up() {
+        let answer = actix_rt::System::new().block_on(async { ask(&start()).await });
         assert_eq!(answer, Ok(Answer::Failed));
     }
+
+    /// Guards a client from another one that sends the id of its open request and leaves.
+    #[test]
+    fn a_second_client_of_an_id_that_leaves_ends_nothing() {
+        let (first, second) = actix_rt::System::new().block_on(async {
+            let queue = start();
+            let (first, second) = (ask(&queue), ask(&queue));
+            let second = second.await;
+            let _ = queue.send(Input::Departed(RequestId("r1".into())));
+            (first.await, second)
+        });
+        assert_eq!((first, second), (Ok(Answer::Failed), Ok(Answer::Doubled)));
+    }
 }
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -15,7 +15,8 @@
 use std::time::{Duration, Instant};
 use whinstall::CountName;
 
-/// Connections held at most. The counter takes 32 and may still know of some that were just closed.
+/// Connections held at most, whatever the limits. The counter takes 32 and may still know of some that were just
+/// closed.
 pub const CONNECTIONS: usize = 24;
 /// Connections are kept idle for so long; the counter's own limit is about 10 s or less.
 const IDLE: Duration = Duration::from_secs(4);
@@ -34,9 +35,9 @@
 }
 
 impl Counter {
-    /// Calls the counter at this address and gives up after `wait`.
-    pub fn new(address: SocketAddr, dial: Duration, wait: Duration, queue: Inputs) -> Self {
-        let exchanger = Exchanger::new(dial.min(wait), IDLE, CONNECTIONS);
+    /// Calls the counter at this address on `most` connections and gives up after `wait`.
+    pub fn new(address: SocketAddr, dial: Duration, wait: Duration, most: usize, queue: Inputs) -> Self {
+        let exchanger = Exchanger::new(dial.min(wait), IDLE, most.min(CONNECTIONS));
         let address = Cell::new(address);
         Counter(Rc::new(Inner { exchanger, address, wait, queue, lines: RefCell::default() }))
     }
@@ -155,7 +156,7 @@
         actix_rt::System::new().block_on(async {
             let (queue, mut inputs) = tokio::sync::mpsc::unbounded_channel();
             let wait = Duration::from_secs(30);
-            let counter = Counter::new(peer.address, wait, wait, queue);
+            let counter = Counter::new(peer.address, wait, wait, CONNECTIONS, queue);
             for (name, amount) in [("a", 1.0), ("a", -2.5), ("b", 1.0)] {
                 let name = CountName(name.into());
                 counter.call(CounterCall { name, amount, keep: Duration::from_secs(4) });
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -1,36 +1,54 @@
-//! Owns the clients' side: takes connections, reads requests into sessions and writes the one answer to each.
-//! It must never decide on a session, hold an answer back, or end a connection that a taken request is on.
+//! Owns the clients' side: takes connections, reads requests into sessions and writes the one answer to each, on
+//! actix-http's own codec. It must never decide on a session, hold an answer back, let a request that is not as
+//! it should be reach the core, or end a connection that a taken request is on.
 
 use super::core::{Answer, Input, NewSession};
 use super::exchange::BODY_MOST;
 use super::server_table::ServerTable;
 use super::{Inputs, Platform};
-use actix_http::error::PayloadError;
-use actix_http::header::HeaderValue;
+use actix_codec::{Decoder, Encoder};
+use actix_http::body::BodySize;
+use actix_http::error::ParseError;
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::header::{HeaderValue, CONTENT_LENGTH};
 use actix_http::uri::PathAndQuery;
-use actix_http::{HttpMessage, Payload};
-use actix_http::{HttpService, KeepAlive, Method, Request, Response, ResponseBuilder, StatusCode};
-use actix_service::{fn_service, Service, ServiceFactory};
+use actix_http::{HttpMessage, StatusCode};
+use actix_http::{
+    KeepAlive, Method, Request, Response, ResponseBuilder, ServiceConfig, ServiceConfigBuilder,
+};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
-use std::cell::Cell;
-use std::convert::Infallible;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
-use whinstall::{CustomerId, RequestId};
+use tokio::sync::{oneshot, Notify};
+use tokio::time::{timeout, timeout_at};
+use whinstall::{CustomerId, Idempotency, RequestId, Settings};
 
 /// `Request-Timeout` runs from the client's send: this much of it has passed when a request is read, and the
 /// answer must be back before the rest has.
 const ON_THE_WAY: Duration = Duration::from_millis(5);
 /// Nobody waits longer.
 const TIMEOUT_MOST: Duration = Duration::from_secs(3600);
-/// A connection with no request open on it is closed after this.
+/// A connection with no request open on it is closed after this, and a request that began is whole by then.
 const IDLE: Duration = Duration::from_secs(2);
-/// Connections beyond the budget that are still taken, to be denied and closed.
-const CROWD: usize = 48;
+/// The longest head.
+const HEAD_MOST: usize = 16 * 1024;
+/// A client takes an answer within this.
+const TAKEN_WITHIN: Duration = Duration::from_secs(10);
+/// After an error nothing more is heard on its connection, but for so long and so much it is read and dropped: a
+/// connection closed over unread bytes is reset, which can cost its client the answer.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_MOST: usize = 4 * BODY_MOST;
+/// Customers' numbers are below this.
+const CUSTOMERS: u64 = 1 << 33;
+/// Where none of its connections can be closed, so many beyond the budget are taken, to be denied.
+const CROWD: usize = 8;
+/// What was closed for want of room is told this often at most.
+const TELL_EVERY: Duration = Duration::from_secs(10);
 
 /// What dispatches pass on of a request, unchanged.
 pub struct Forward {
@@ -44,70 +62,130 @@
     pub body: Bytes,
 }
 
+/// What a request may say, by the settings. What says anything else is turned back before the core hears of it:
+/// nothing is to be learnt from it, all the less in another customer's name.
+pub struct Terms {
+    /// Classes, and whether their requests may be repeated.
+    classes: HashMap<String, bool>,
+    plans: Vec<String>,
+    units_top: f64,
+    replicas: u32,
+}
+
+impl Terms {
+    /// The terms of these settings.
+    pub fn of(s: &Settings) -> Self {
+        let classes = s.classes.iter().map(|c| (c.name.clone(), c.idempotency == Idempotency::Repeatable));
+        let plans = s.plans.iter().map(|p| p.name.clone()).collect();
+        Terms { classes: classes.collect(), plans, units_top: s.units_top, replicas: s.replicas }
+    }
+
+    /// Units and spread of an `X-Metering` header.
+    fn metering(&self, text: &str) -> Option<(f64, u32)> {
+        let field = |name: &str| {
+            let mut pairs = text.split(',').filter_map(|pair| pair.trim().split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let units = field("units")?.parse::<f64>().ok().filter(|u| *u > 0.0 && *u <= self.units_top)?;
+        let spread = field("spread")?.parse().ok().filter(|n| (1..=self.replicas).contains(n))?;
+        field("first")?.parse::<u32>().ok().filter(|n| *n < self.replicas)?;
+        Some((units, spread))
+    }
+}
+
 /// What all connections share.
 pub struct Frontend {
     queue: Inputs,
     table: Rc<ServerTable>,
+    terms: Terms,
     most: usize,
     max_retry_after: Duration,
-    connections: Cell<usize>,
-    freed: tokio::sync::Notify,
+    config: ServiceConfig,
+    connections: RefCell<HashMap<u64, Rc<Connection>>>,
+    /// Connections taken so far.
+    taken: Cell<u64>,
+    freed: Notify,
     draining: Cell<bool>,
     busy: Cell<usize>,
+    /// Connections closed for want of room that are not told of yet, and when that was last told.
+    unseated: Cell<(usize, Option<Instant>)>,
 }
 
 /// One open connection.
-struct Slot {
-    frontend: Rc<Frontend>,
-    crowded: bool,
-    /// Is a session on it, or its last answer still to be written out?
+struct Connection {
+    /// Has any request on it been answered?
+    asked: Cell<bool>,
+    /// Is a request on it that was taken and whose answer is not written out?
     busy: Cell<bool>,
+    /// Since when it has been without one.
+    since: Cell<Instant>,
+    /// Its place is needed.
+    unseat: Notify,
+}
+
+/// A connection's place among all; when it ends, so does what it was counted for.
+struct Seat {
+    frontend: Rc<Frontend>,
+    number: u64,
+    connection: Rc<Connection>,
 }
 
-impl Slot {
+impl Seat {
     fn set_busy(&self, busy: bool) {
-        let count = &self.frontend.busy;
-        count.set(count.get() + usize::from(busy) - usize::from(self.busy.replace(busy)));
+        let (count, connection) = (&self.frontend.busy, &self.connection);
+        count.set(count.get() + usize::from(busy) - usize::from(connection.busy.replace(busy)));
+        connection.since.set(Instant::now());
     }
 }
 
-impl Drop for Slot {
+impl Drop for Seat {
     fn drop(&mut self) {
         self.set_busy(false);
-        self.frontend.connections.set(self.frontend.connections.get() - 1);
+        self.frontend.connections.borrow_mut().remove(&self.number);
         self.frontend.freed.notify_one();
     }
 }
 
-/// Tells the core of a client that leaves: the connection's end drops the request's future and this with it.
-struct Presence<'a> {
-    frontend: &'a Frontend,
-    id: Option<RequestId>,
-}
+/// What is wrong with a request that never becomes a session.
+#[derive(Debug)]
+struct Rejected(StatusCode, &'static str);
 
-impl Drop for Presence<'_> {
-    fn drop(&mut self) {
-        if let Some(id) = self.id.take() {
-            let _ = self.frontend.queue.send(Input::Departed(id));
-        }
-    }
+fn bad(why: &'static str) -> Rejected {
+    Rejected(StatusCode::BAD_REQUEST, why)
 }
 
-/// What is wrong with a request that never becomes a session.
-struct Rejected(StatusCode, &'static str);
+/// Why a connection ends with no more to be said on it.
+struct Gone;
+
+/// An answer's head and body.
+type Whole = (ResponseBuilder, Bytes);
+
+fn plain(status: StatusCode) -> Whole {
+    (Response::build(status), Bytes::new())
+}
 
 impl Frontend {
     /// Hands sessions to this queue and holds `most` connections.
-    pub fn new(queue: Inputs, table: Rc<ServerTable>, most: usize, max_retry_after: Duration) -> Rc<Self> {
+    pub fn new(
+        queue: Inputs,
+        table: Rc<ServerTable>,
+        terms: Terms,
+        most: usize,
+        max_retry_after: Duration,
+    ) -> Rc<Self> {
         Rc::new(Frontend {
             queue,
             table,
+            terms,
             most,
             max_retry_after,
-            connections: Cell::new(0),
-            freed: tokio::sync::Notify::new(),
+            config: ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build(),
+            connections: RefCell::default(),
+            taken: Cell::new(0),
+            freed: Notify::new(),
             draining: Cell::new(false),
             busy: Cell::new(0),
+            unseated: Cell::default(),
         })
     }
 
@@ -124,46 +202,20 @@
 
     /// Takes connections for as long as the program runs.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
-        let (on_connect, on_request) = (Rc::clone(&self), Rc::clone(&self));
-        let factory = HttpService::build()
-            // Clients ask once and keep their connections for good: what is silent or idle is closed. The clocks
-            // stop at a request's head, so one that was taken is never ended by them.
-            .keep_alive(KeepAlive::Timeout(IDLE))
-            .client_request_timeout(IDLE)
-            .client_disconnect_timeout(Duration::from_secs(1))
-            // A client that closes has left: the dispatcher then drops the request's future.
-            .h1_allow_half_closed(false)
-            .on_connect_ext(move |_: &TcpStream, data| {
-                let count = on_connect.connections.get() + 1;
-                on_connect.connections.set(count);
-                data.insert(Slot {
-                    frontend: Rc::clone(&on_connect),
-                    crowded: count > on_connect.most,
-                    busy: Cell::new(false),
-                });
-            })
-            .h1(fn_service(move |request: Request| {
-                let frontend = Rc::clone(&on_request);
-                async move { Ok::<_, Infallible>(frontend.answer(request).await) }
-            }))
-            .tcp();
-        let service = match factory.new_service(()).await {
-            Ok(service) => Rc::new(service),
-            Err(()) => return tracing::error!("the server could not be built"),
-        };
         loop {
-            while self.connections.get() >= self.most + CROWD {
+            while self.connections.borrow().len() >= self.most + CROWD {
                 self.freed.notified().await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    let connection = service.call(stream);
-                    actix_rt::spawn(async move {
-                        if let Err(error) = connection.await {
-                            tracing::debug!(%error, "frontend connection ended");
-                        }
-                    });
+                    if self.connections.borrow().len() >= self.most {
+                        self.unseat();
+                    }
+                    actix_rt::spawn(self.seat().converse(stream));
+                    // What it says is heard before the next one is taken: so a request is seen before its
+                    // connection could be closed for want of room.
+                    tokio::task::yield_now().await;
                 }
                 Err(error) => {
                     tracing::warn!(%error, "accept failed");
@@ -173,136 +225,343 @@
         }
     }
 
-    /// Answers one request.
-    async fn answer(&self, mut request: Request) -> Response<Bytes> {
-        let arrived = Instant::now();
-        let mut presence = Presence { frontend: self, id: None };
+    fn seat(self: &Rc<Self>) -> Seat {
+        let number = self.taken.get();
+        self.taken.set(number + 1);
+        let connection = Rc::new(Connection {
+            asked: Cell::new(false),
+            busy: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            unseat: Notify::new(),
+        });
+        self.connections.borrow_mut().insert(number, Rc::clone(&connection));
+        Seat { frontend: Rc::clone(self), number, connection }
+    }
+
+    /// Makes room by closing the connection that has said nothing for longest; one that has never asked for
+    /// anything goes first, one that a taken request is on never does.
+    fn unseat(&self) {
+        let mut connections = self.connections.borrow_mut();
+        let quiet = connections.iter().filter(|(_, c)| !c.busy.get());
+        let Some(number) = quiet.min_by_key(|(_, c)| (c.asked.get(), c.since.get())).map(|(n, _)| *n) else {
+            return;
+        };
+        if let Some(connection) = connections.remove(&number) {
+            connection.unseat.notify_one();
+        }
+        let (count, told) = self.unseated.get();
+        let due = told.is_none_or(|at| at.elapsed() > TELL_EVERY);
+        if due {
+            tracing::warn!(connections = count + 1, "crowded: closed silent or idle connections");
+        }
+        self.unseated.set(if due { (0, Some(Instant::now())) } else { (count + 1, told) });
+    }
+
+    /// Turns back, denies or hands on a request that is whole; its answer, and whether the connection may live on.
+    async fn answer(
+        &self,
+        seat: &Seat,
+        request: &Request,
+        body: Bytes,
+        client: &mut Client,
+    ) -> Result<(Whole, bool), Gone> {
         if request.path() == "/ready" {
             let ready = self.table.can_serve() && !self.draining.get();
-            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            return self.finish(Response::build(status), Bytes::new());
+            return Ok((plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }), true));
         }
-        if request.conn_data::<Slot>().is_some_and(|slot| slot.crowded) {
-            tracing::warn!(connections = self.connections.get(), "crowded: denied and closed");
-            let mut response = Response::build(StatusCode::SERVICE_UNAVAILABLE);
-            retry_after(&mut response, self.max_retry_after).force_close();
-            return self.finish(response, Bytes::new());
+        if self.connections.borrow().len() > self.most {
+            return Ok((self.denied(Some(self.max_retry_after)), false));
         }
-        let (reply, answer) = oneshot::channel();
-        let session = match self.read(&mut request, arrived, reply).await {
+        let (reply, mut answer) = oneshot::channel();
+        let session = match self.read(request, body, reply) {
             Ok(session) => session,
-            Err(Rejected(status, why)) => {
-                tracing::debug!(why, "request rejected");
-                return self.finish(Response::build(status), Bytes::from_static(why.as_bytes()));
-            }
+            Err(rejected) => return Ok((rejected.answer(), false)),
         };
-        presence.id = Some(session.id.clone());
-        if let Some(slot) = request.conn_data::<Slot>() {
-            slot.set_busy(true);
-        }
+        let id = session.id.clone();
+        seat.set_busy(true);
         let _ = self.queue.send(Input::Session(Box::new(session)));
-        let answer = answer.await.unwrap_or(Answer::Failed);
-        presence.id = None;
-        // While draining the connection stays busy until the answer is written out and it closes.
-        if let Some(slot) = request.conn_data::<Slot>().filter(|_| !self.draining.get()) {
-            slot.set_busy(false);
-        }
-        match answer {
-            Answer::Served(body) => self.finish(Response::build(StatusCode::OK), body),
-            Answer::Denied(after) => {
-                let mut response = Response::build(StatusCode::SERVICE_UNAVAILABLE);
-                if let Some(after) = after {
-                    retry_after(&mut response, after);
-                }
-                self.finish(response, Bytes::new())
+        let answer = tokio::select! {
+            biased;
+            answer = &mut answer => answer.unwrap_or(Answer::Failed),
+            () = client.left() => {
+                drop(answer);
+                let _ = self.queue.send(Input::Departed(id));
+                return Err(Gone);
             }
-            Answer::Failed => self.finish(Response::build(StatusCode::BAD_GATEWAY), Bytes::new()),
-            Answer::Doubled => self.finish(Response::build(StatusCode::CONFLICT), Bytes::new()),
-        }
+        };
+        Ok((
+            match answer {
+                Answer::Served(body) => (Response::build(StatusCode::OK), body),
+                Answer::Denied(after) => self.denied(after),
+                Answer::Failed => plain(StatusCode::BAD_GATEWAY),
+                Answer::Doubled => plain(StatusCode::CONFLICT),
+            },
+            !self.draining.get(),
+        ))
     }
 
-    fn finish(&self, mut response: ResponseBuilder, body: Bytes) -> Response<Bytes> {
-        if self.draining.get() {
-            response.force_close();
+    fn denied(&self, after: Option<Duration>) -> Whole {
+        let mut response = Response::build(StatusCode::SERVICE_UNAVAILABLE);
+        if let Some(after) = after.filter(|after| !after.is_zero()) {
+            response.insert_header(("retry-after", format!("{:.3}", after.as_secs_f64())));
         }
-        response
-            .message_body(body)
-            .unwrap_or_else(|_| Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()))
+        (response, Bytes::new())
     }
 
     /// Reads a request into a session.
-    async fn read(
+    fn read(
         &self,
-        request: &mut Request,
-        arrived: Instant,
+        request: &Request,
+        body: Bytes,
         reply: oneshot::Sender<Answer<Bytes>>,
     ) -> Result<NewSession<Platform>, Rejected> {
-        let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
+        let arrived = Instant::now();
         if !matches!(*request.method(), Method::GET | Method::POST) {
             return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "GET or POST only"));
         }
         let id = request.headers().get("request-id").cloned().ok_or(bad("no Request-Id"))?;
         let text = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).map(str::trim);
         let word = id.to_str().ok().filter(|id| !id.is_empty()).ok_or(bad("no usable Request-Id"))?;
-        let class = text("request-class").filter(|c| !c.is_empty()).ok_or(bad("no Request-Class"))?;
+        let class = text("request-class").ok_or(bad("no Request-Class"))?;
+        let repeatable = *self.terms.classes.get(class).ok_or(bad("no such Request-Class"))?;
+        if request.path().split('/').nth(1) != Some(class) {
+            return Err(bad("a path of another class"));
+        }
+        if repeatable != (*request.method() == Method::GET) || repeatable && !body.is_empty() {
+            return Err(bad("GET without a body for what may be repeated, POST for all else"));
+        }
         let plan = text("x-contract").ok_or(bad("no X-Contract"))?;
+        if !self.terms.plans.iter().any(|p| p == plan) {
+            return Err(bad("no such X-Contract"));
+        }
         let seconds = text("request-timeout").and_then(|t| t.parse::<f64>().ok());
         let timeout = seconds.filter(|s| *s >= 0.0).and_then(|s| Duration::try_from_secs_f64(s).ok());
         // Guards against a figure that no clock can add.
         let timeout = timeout.ok_or(bad("no usable Request-Timeout"))?.min(TIMEOUT_MOST);
-        let (units, width) = text("x-metering").and_then(metering).ok_or(bad("no usable X-Metering"))?;
+        let metering = text("x-metering").and_then(|t| self.terms.metering(t));
+        let (units, width) = metering.ok_or(bad("no usable X-Metering"))?;
         let customer = request.uri().query().and_then(customer).ok_or(bad("no usable client"))?;
         let target = request.uri().path_and_query().cloned().ok_or(bad("no path"))?;
-        let (session, class, plan) = (RequestId(Arc::from(word)), class.to_owned(), plan.to_owned());
-        let customer = CustomerId(Arc::from(customer));
-        let method = request.method().clone();
-        let body = body(request.take_payload()).await?;
         Ok(NewSession {
-            id: session,
-            class,
-            plan,
-            customer,
+            id: RequestId(Arc::from(word)),
+            class: class.to_owned(),
+            plan: plan.to_owned(),
+            customer: CustomerId(Arc::from(customer)),
             deadline: arrived + timeout.saturating_sub(ON_THE_WAY),
             units,
             width,
-            request: Forward { method, target, id, body },
+            request: Forward { method: request.method().clone(), target, id, body },
             reply,
         })
     }
 }
 
-fn retry_after(response: &mut ResponseBuilder, after: Duration) -> &mut ResponseBuilder {
-    response.insert_header(("retry-after", format!("{:.3}", after.as_secs_f64())))
+impl Rejected {
+    fn answer(self) -> Whole {
+        tracing::debug!(why = self.1, "request rejected");
+        (Response::build(self.0), Bytes::from_static(self.1.as_bytes()))
+    }
+}
+
+impl Seat {
+    /// Serves a connection for as long as it lasts, or until its place is needed.
+    async fn converse(self, stream: TcpStream) {
+        let codec = Codec::new(self.frontend.config.clone());
+        let mut client = Client { stream, codec, read: BytesMut::with_capacity(2048) };
+        tokio::select! {
+            biased;
+            _ = self.exchanges(&mut client) => {}
+            () = self.connection.unseat.notified() => {}
+        }
+    }
+
+    /// One request after the other: what comes ahead of an answer waits for it.
+    async fn exchanges(&self, client: &mut Client) -> Result<(), Gone> {
+        loop {
+            let (request, rejected) = client.request(self.connection.since.get() + IDLE).await?;
+            let ((mut response, body), live_on) = match (request, rejected) {
+                (Some((request, body)), None) => self.frontend.answer(self, &request, body, client).await?,
+                (_, rejected) => (rejected.unwrap_or(bad("unreadable")).answer(), false),
+            };
+            if !live_on || self.frontend.draining.get() {
+                response.force_close();
+            }
+            let sent = timeout(TAKEN_WITHIN, client.write(response, body)).await;
+            self.connection.asked.set(live_on);
+            self.set_busy(false);
+            sent.map_err(|_| Gone)??;
+            if !client.codec.keep_alive() {
+                client.linger().await;
+                return Err(Gone);
+            }
+        }
+    }
+}
+
+/// The client's end of a connection.
+struct Client {
+    stream: TcpStream,
+    codec: Codec,
+    /// What was read and is not used yet.
+    read: BytesMut,
 }
 
-async fn body(mut payload: Payload) -> Result<Bytes, Rejected> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_: PayloadError| Rejected(StatusCode::BAD_REQUEST, "body not whole"))?;
-        if body.len() + chunk.len() > BODY_MOST {
-            return Err(Rejected(StatusCode::PAYLOAD_TOO_LARGE, "body of over 64 KiB"));
+impl Client {
+    /// The next request with its body, or what is wrong with it. Nothing is said to who says nothing.
+    async fn request(&mut self, idle: Instant) -> Result<(Option<(Request, Bytes)>, Option<Rejected>), Gone> {
+        if self.read.is_empty() {
+            let first = timeout_at(idle.into(), self.stream.read_buf(&mut self.read)).await;
+            first.map_err(|_| Gone)?.ok().filter(|n| *n > 0).ok_or(Gone)?;
+        }
+        // From its first byte on a request has its own time.
+        let whole = timeout(IDLE, self.rest()).await;
+        match whole.unwrap_or(Err(Some(Rejected(StatusCode::REQUEST_TIMEOUT, "not whole in time")))) {
+            Ok(request) => Ok((Some(request), None)),
+            Err(Some(rejected)) => Ok((None, Some(rejected))),
+            Err(None) => Err(Gone),
+        }
+    }
+
+    /// `Err(None)`: the client has left.
+    async fn rest(&mut self) -> Result<(Request, Bytes), Option<Rejected>> {
+        let request = loop {
+            match self.codec.decode(&mut self.read) {
+                Ok(Some(Message::Item(request))) => break request,
+                Ok(None) if self.read.len() < HEAD_MOST => self.more().await?,
+                Ok(None) | Err(ParseError::TooLarge) => {
+                    return Err(Some(Rejected(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head too long")))
+                }
+                Ok(Some(Message::Chunk(_))) | Err(_) => return Err(Some(bad("not HTTP"))),
+            }
+        };
+        let too_long = Some(Rejected(StatusCode::PAYLOAD_TOO_LARGE, "body of over 64 KiB"));
+        let claimed =
+            request.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse().ok());
+        if claimed.is_some_and(|length: u64| length > BODY_MOST as u64) {
+            return Err(too_long);
+        }
+        let mut body = BytesMut::new();
+        if self.codec.message_type() == MessageType::None {
+            return Ok((request, body.freeze()));
+        }
+        if request.head().expect() {
+            let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        }
+        loop {
+            match self.codec.decode(&mut self.read) {
+                Ok(Some(Message::Chunk(None))) => return Ok((request, body.freeze())),
+                Ok(Some(Message::Chunk(Some(chunk)))) if body.len() + chunk.len() > BODY_MOST => {
+                    return Err(too_long)
+                }
+                Ok(Some(Message::Chunk(Some(chunk)))) => body.extend_from_slice(&chunk),
+                Ok(None) => self.more().await?,
+                Ok(Some(Message::Item(_))) | Err(_) => return Err(Some(bad("body not whole"))),
+            }
+        }
+    }
+
+    async fn more(&mut self) -> Result<(), Option<Rejected>> {
+        self.read.reserve(2048);
+        match self.stream.read_buf(&mut self.read).await {
+            Ok(0) | Err(_) => Err(None),
+            Ok(_) => Ok(()),
         }
-        if body.is_empty() {
-            body = BytesMut::from(chunk);
-        } else {
-            body.extend_from_slice(&chunk);
+    }
+
+    /// Resolves when the client closes its connection. What else it sends meanwhile is kept for later, up to
+    /// the longest request.
+    async fn left(&mut self) {
+        while self.read.len() < HEAD_MOST + BODY_MOST {
+            if self.more().await.is_err() {
+                return;
+            }
         }
+        std::future::pending().await
+    }
+
+    async fn write(&mut self, mut response: ResponseBuilder, body: Bytes) -> Result<(), Gone> {
+        let mut out = BytesMut::with_capacity(256 + body.len());
+        let head = response.message_body(()).map_err(|_| Gone)?;
+        let size = BodySize::Sized(body.len() as u64);
+        self.codec.encode(Message::Item((head, size)), &mut out).map_err(|_| Gone)?;
+        out.extend_from_slice(&body);
+        self.stream.write_all(&out).await.map_err(|_| Gone)
+    }
+
+    async fn linger(&mut self) {
+        let _ = self.stream.shutdown().await;
+        let _ = timeout(LINGER, async {
+            let mut dropped = 0;
+            while dropped < LINGER_MOST {
+                self.read.clear();
+                if self.more().await.is_err() {
+                    break;
+                }
+                dropped += self.read.len();
+            }
+        })
+        .await;
     }
-    Ok(body.freeze())
 }
 
 /// The customer in a query: 16 hex digits.
 fn customer(query: &str) -> Option<&str> {
     let value = query.split('&').find_map(|pair| pair.strip_prefix("client="))?;
-    (value.len() == 16 && value.bytes().all(|b| b.is_ascii_hexdigit())).then_some(value)
+    let digits = value.len() == 16 && value.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    let number = digits.then(|| u64::from_str_radix(value, 16).ok())?;
+    number.filter(|n| *n < CUSTOMERS).map(|_| value)
 }
 
-/// Units and spread of an `X-Metering` header.
-fn metering(text: &str) -> Option<(f64, u32)> {
-    let field = |name: &str| {
-        let mut pairs = text.split(',').filter_map(|pair| pair.trim().split_once('='));
-        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-    };
-    let units = field("units")?.parse::<f64>().ok().filter(|u| u.is_finite() && *u >= 0.0)?;
-    Some((units, field("spread")?.parse().ok()?))
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::peer::BOUND;
+    use whinstall::settings;
+
+    async fn heard(client: &mut TcpStream) -> String {
+        let mut heard = vec![0; 1024];
+        let count = timeout(BOUND, client.read(&mut heard)).await.expect("something").unwrap_or(0);
+        String::from_utf8_lossy(&heard[..count]).into_owned()
+    }
+
+    /// Guards the usual clients from crowds that say nothing, and taken requests from being closed for room.
+    #[test]
+    fn room_is_made_by_the_silent_then_by_the_idle_and_never_by_a_taken_request() {
+        let told = serde_json::from_str(include_str!("../../tests/common/settings.json"));
+        let (settings, _) = settings::read(told.expect("JSON")).expect("settings");
+        let request = "GET /preview?client=00000000b4d65521 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nRequest-Class: preview\r\nX-Contract: standard\r\nRequest-Timeout: 4\r\nX-Metering: units=1,spread=1,first=0\r\n\r\n";
+        actix_rt::System::new().block_on(async {
+            let (queue, mut inputs) = tokio::sync::mpsc::unbounded_channel();
+            let terms = Terms::of(&settings);
+            let frontend = Frontend::new(queue, Rc::default(), terms, 2, Duration::from_millis(500));
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            actix_rt::spawn(frontend.serve(listener));
+            let begun = Instant::now();
+            let mut idle = TcpStream::connect(address).await.expect("it listens");
+            idle.write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").await.expect("it takes it");
+            assert!(heard(&mut idle).await.starts_with("HTTP/1.1 503"));
+            let mut silent = TcpStream::connect(address).await.expect("it listens");
+            let (mut taken, mut sessions) = (Vec::new(), Vec::new());
+            for quiet in [&mut silent, &mut idle] {
+                let mut client = TcpStream::connect(address).await.expect("it listens");
+                client.write_all(request.as_bytes()).await.expect("it takes it");
+                let input = timeout(BOUND, inputs.recv()).await.expect("an input");
+                let Some(Input::Session(session)) = input else { panic!("no session") };
+                assert_eq!(heard(quiet).await, "");
+                taken.push(client);
+                sessions.push(session);
+            }
+            let mut crowded = TcpStream::connect(address).await.expect("it listens");
+            crowded.write_all(request.as_bytes()).await.expect("it takes it");
+            let denied = heard(&mut crowded).await;
+            assert!(denied.starts_with("HTTP/1.1 503") && denied.contains("retry-after: 0.500"), "{denied}");
+            for (mut client, session) in taken.into_iter().zip(sessions) {
+                let _ = session.reply.send(Answer::Served("drafted".into()));
+                assert!(heard(&mut client).await.ends_with("drafted"));
+            }
+            // Later on all would have been closed as silent or idle in any case.
+            assert!(begun.elapsed() < IDLE);
+        });
+    }
 }
