See no press in a gatekeeper's youth, and learn latencies from its first answers

Checked: hosts were idle (7 out at 9 ready). Cause: rules.rs pressed() divides by answers a second that go by four seconds, of which a young gateway has seen a part; and expected latencies moved by 2 % an answer from a guess at 2 units a request, so previews were given up too early. Ruled out: the ceiling's empty start (14 denials) and totals not known (32 of 337).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,8 +58,11 @@
 const LOST_GAIN: f64 = 3.0; // bars fall so steeply with the share of time-outs, to a half at the most...
 const LOST_FREE: f64 = 0.04; // ...past this: a few very heavy requests are no sign of press
 const CALM_OUT: f64 = 2.0; // so many attempts out a host, over all gateways, are no press at any rate
+const YOUNG_OUT: f64 = 2.0; // ...and so many times that, before answers can tell anything
 const SPARE_OUT: f64 = 1.5; // under so many attempts out a host, over all gateways, there is work to spare
 const DONE_S: f64 = 4.0; // time constant of the answers a second: some ten, also where one gateway sees few
+const SEEN_ALPHA: f64 = 0.02; // least weight of the newest answer in a class's latency and units...
+const SEEN_PRIOR: f64 = 4.0; // ...as the first guess at them counts for no more than so many answers
 const THIN: f64 = 0.25; // answers a second at the mean latency mixed in: none at all are no sign of press
 const QUEUE_ALPHA: f64 = 0.1; // least weight of the newest request's sight of the attempts out
 const TICK: f64 = 0.01; // what is due is done in steps of this: timers cost, too
@@ -394,7 +397,7 @@
 
     /// Latency expected of a request, by its class and units.
     fn expected(&self, class: usize, units: f64) -> f64 {
-        let (latency, mean) = self.seen[class];
+        let (latency, mean, _) = self.seen[class];
         latency * (0.2 + 0.8 * units / mean)
     }
 
@@ -653,9 +656,11 @@
         self.opened(&customer, -1.0);
         if ending == Ending::Ok {
             self.done.add(self.now, 1.0, DONE_S);
-            let (latency, mean) = &mut self.seen[class];
-            *latency += 0.02 * (delay.as_secs_f64() - *latency);
-            *mean += 0.02 * (units.max(1.0) - *mean);
+            let (latency, mean, count) = &mut self.seen[class];
+            let weight = (1.0 / *count).max(SEEN_ALPHA);
+            *latency += weight * (delay.as_secs_f64() - *latency);
+            *mean += weight * (units.max(1.0) - *mean);
+            *count += 1.0;
         } else if ending == Ending::Timeout {
             self.lost.add(self.now, 1.0, DONE_S);
         }
@@ -693,7 +698,7 @@
         let aim = s.classes.iter().map(|c| c.aim).max().unwrap_or(Duration::from_secs(1));
         let (name, gain, late_worth, key_window) = (String::new(), 1.0, 0.0, Duration::ZERO);
         s.classes.push(Class { name, aim, gain, late_worth, idempotency: Idempotency::Once, key_window });
-        let seen = s.classes.iter().map(|c| (c.aim.as_secs_f64().max(0.01) / 8.0, 2.0)).collect();
+        let seen = s.classes.iter().map(|c| (c.aim.as_secs_f64().max(0.01) / 8.0, 2.0, SEEN_PRIOR)).collect();
         Gateway {
             seen,
             pace: PACE_FIRST / f64::from(s.replicas),
@@ -754,12 +759,18 @@
         let density = self.s.classes[class].gain * price * units / work.max(1e-6);
         self.density += 0.02 * (density - self.density);
         let hopeless = work > HOPELESS * left;
-        if hopeless || self.queue < CALM_OUT * self.ready_each() {
-            return hopeless;
-        }
+        // Answers begin to come after a mean latency, and tell something after another one.
         let mean = self.mean_latency();
+        let age = self.now - self.serving.unwrap_or(self.now) - mean;
+        let calm = CALM_OUT * self.ready_each();
+        if hopeless || self.queue < calm || age < mean {
+            return hopeless || self.queue >= YOUNG_OUT * calm;
+        }
         let queue = self.queue + 1.0 / f64::from(self.s.replicas);
-        let (done, lost) = (self.done.rate(self.now, DONE_S) + THIN, self.lost.rate(self.now, DONE_S));
+        // A gateway that serves for less than the flows' time has seen only so much of its rates.
+        let seen = 1.0 - (-age / DONE_S).exp();
+        let done = self.done.rate(self.now, DONE_S) / seen + THIN;
+        let lost = self.lost.rate(self.now, DONE_S) / seen;
         let wait = (queue + THIN * mean) / done;
         let predicted = wait * (0.5 + 0.5 * work / mean);
         let bar = (PRESSED[1] * (density / self.density.max(1e-9)).sqrt()).clamp(PRESSED[0], PRESSED[2]);
@@ -768,6 +779,7 @@
     }
 
     fn request(&mut self, e: Event, actions: &mut Actions) {
+        self.serving = self.serving.or(Some(self.now));
         let Event::Request { id, class, plan, customer, budget, units, width } = e else { return };
         if self.requests.contains_key(&id) {
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -206,6 +206,8 @@
     pub(crate) now: f64,
     /// The time of the first one.
     pub(crate) started: Option<f64>,
+    /// The time of the first request.
+    pub(crate) serving: Option<f64>,
     /// When the next timer that was set is due.
     pub(crate) timer_at: f64,
     /// When the idle were last looked for.
@@ -252,8 +254,8 @@
     pub(crate) ready: f64,
     /// Requests that are owed an answer or have an attempt out.
     pub(crate) requests: BTreeMap<RequestId, Request>,
-    /// Mean latency and mean units, by class.
-    pub(crate) seen: Vec<(f64, f64)>,
+    /// Mean latency and mean units, by class, and the answers that they go by.
+    pub(crate) seen: Vec<(f64, f64, f64)>,
     /// Work a second sent to warm hosts.
     pub(crate) sent: Flow,
     /// Answers a second.
@@ -279,6 +281,7 @@
             timer_at: f64::INFINITY,
             now: Default::default(),
             started: Default::default(),
+            serving: Default::default(),
             swept_at: Default::default(),
             due: Default::default(),
             copies: Default::default(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -576,6 +576,11 @@
     let started = Some(secs(b.now));
     let cold = (3..12).map(|n| HostEntry { last_start: started, ..entry(n, Availability::Ready) }).collect();
     b.list(ListScope::Update, cold);
+    // Long enough for its answers to tell something.
+    for _ in 0..4 {
+        b.wait(0.25);
+        assert!(b.serve("free", "c", 1.0, 1));
+    }
     let sent = (0..24).filter(|_| sent(&b.ask("read", "free", "c", 1.0, 1)).is_some()).count();
     assert!(sent <= 10, "{sent} out at three warm hosts");
 }
@@ -912,3 +917,42 @@
     assert!(short.iter().any(told), "and told when to come back");
     assert!(sent(&ask(1.0)).is_some());
 }
+
+/// A gateway that has just begun to serve once took its few answers for a sign of press: it had seen a part of a
+/// second and counted it as the four that the rate goes by.
+#[test]
+fn a_young_gateway_is_not_pressed_by_the_start_alone() {
+    let mut bench = Bench::new(settings(), 2);
+    let mut out = std::collections::VecDeque::new();
+    for _ in 0..40 {
+        bench.now += 0.025;
+        let actions = bench.ask("read", "free", "c", 1.0, 1);
+        out.push_back((bench.next, sent(&actions).expect("four attempts out are no press")));
+        if out.len() == 4 {
+            let (n, host) = out.pop_front().expect("four");
+            bench.end(n, 0, &host, Ending::Ok, 0.0);
+        }
+    }
+}
+
+/// Latencies once took some fifty answers to be believed; until then attempts were given up too early.
+#[test]
+fn the_first_answers_tell_how_long_to_wait() {
+    let mut bench = Bench::new(settings(), 2);
+    let mut patience = |answers: usize| {
+        for _ in 0..answers {
+            let actions = bench.ask("read", "free", "c", 1.0, 1);
+            let (id, host) = (rid(bench.next), sent(&actions).expect("sent"));
+            let (ending, done, delay) = (Ending::Ok, true, secs(0.2));
+            bench.does(Event::Outcome { id, attempt: 0, host, ending, done, delay, cost: 0.0 });
+        }
+        let actions = bench.ask("read", "free", "c", 1.0, 1);
+        let timeout = actions.iter().find_map(|a| match a {
+            Action::Send { timeout, .. } => *timeout,
+            _ => None,
+        });
+        timeout.expect("it can go elsewhere").as_secs_f64()
+    };
+    assert!(patience(0) < 0.35);
+    assert!(patience(8) > 0.5);
+}
