--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -573,14 +573,14 @@
 #[test]
 fn cold_hosts_count_by_their_warmth_when_pressed() {
     let mut b = Bench::new(Settings { replicas: 1, ..settings() }, 3);
-    let started = Some(secs(b.now));
-    let cold = (3..12).map(|n| HostEntry { last_start: started, ..entry(n, Availability::Ready) }).collect();
-    b.list(ListScope::Update, cold);
     // Long enough for its answers to tell something.
     for _ in 0..4 {
         b.wait(0.25);
         assert!(b.serve("free", "c", 1.0, 1));
     }
+    let started = Some(secs(b.now));
+    let cold = (3..12).map(|n| HostEntry { last_start: started, ..entry(n, Availability::Ready) }).collect();
+    b.list(ListScope::Update, cold);
     let sent = (0..24).filter(|_| sent(&b.ask("read", "free", "c", 1.0, 1)).is_some()).count();
     assert!(sent <= 10, "{sent} out at three warm hosts");
 }
