Acknowledge 1xx answers at once, and let 4xx answers say nothing of a host

A probe with a scripted peer that writes 100 Continue and the answer apart: 44 ms each, as the system puts off its acknowledgement and the peer waits for it. exchange.rs asks for it at once after a 1xx; the probe stays as a test.

ending.rs took a node's 4xx as a failure of the host; such an answer now says nothing of its health.

--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -20,6 +20,8 @@
     Answered,
     /// A whole answer that proves that nothing was begun.
     TurnedAway,
+    /// A whole answer of a status of 400 to 499: the request is at fault, not who answered.
+    Rejected,
     /// A whole answer of any other status.
     Declined,
     /// What came back is no answer that can be read, or one that is too long.
@@ -51,6 +53,9 @@
         match (self, peer) {
             (ConnectionEnd::Answered, _) => Ending::Ok,
             (ConnectionEnd::TurnedAway, _) => Ending::Full,
+            // No sign of a host's health: whoever sends what no host can use must not get hosts left out.
+            (ConnectionEnd::Rejected, Peer::Node) => Ending::Cancelled,
+            (ConnectionEnd::Rejected, Peer::Counter) => Ending::Full,
             (ConnectionEnd::Declined, Peer::Node) => Ending::Error,
             (ConnectionEnd::Declined, Peer::Counter) => Ending::Full,
             (ConnectionEnd::Garbled, Peer::Node) => Ending::Error,
@@ -65,3 +70,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards hosts from clients whose requests they turn back: such an answer neither harms a host's health nor
+    /// proves that nothing ran.
+    #[test]
+    fn a_rejected_request_says_nothing_of_the_host() {
+        let end = ConnectionEnd::Rejected;
+        assert_eq!(end.ending(Peer::Node), Ending::Cancelled);
+        assert!(!end.ending(Peer::Node).never_ran());
+        assert_eq!(end.ending(Peer::Counter), Ending::Full);
+    }
+}
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -216,6 +216,7 @@
         let written = progress.written.get();
         match result {
             Ok(reply) if reply.status == StatusCode::OK => (ConnectionEnd::Answered, Some(reply)),
+            Ok(reply) if reply.status.is_client_error() => (ConnectionEnd::Rejected, Some(reply)),
             Ok(reply) => (ConnectionEnd::Declined, Some(reply)),
             Err(Failure::CalledOff) => (ConnectionEnd::CalledOff { written }, None),
             Err(Failure::TimedOut) => (ConnectionEnd::TimedOut { written }, None),
@@ -297,6 +298,10 @@
                 {
                     return Err(Failure::Garbled);
                 }
+                // Its sender may hold the answer back until it is told that this came, which the system would
+                // put off for 40 ms.
+                #[cfg(target_os = "linux")]
+                let _ = stream.set_quickack(true);
             }
             Some(head) => break head,
         }
@@ -469,6 +474,27 @@
         }
     }
 
+    /// Guards against the 40 ms that a peer waits to go on after an early answer, for as long as the system puts
+    /// off telling it that it came.
+    #[cfg(target_os = "linux")]
+    #[test]
+    fn an_early_answer_costs_no_time() {
+        let early = "HTTP/1.1 100 Continue\r\n\r\n".to_owned();
+        let scripted = Scripted::start(move |_| Says::Parts([early.clone(), ok("drafted")]));
+        actix_rt::System::new().block_on(async {
+            let exchanger = Exchanger::new(BOUND, BOUND, 2);
+            let mut times = Vec::new();
+            for _ in 0..9 {
+                let begun = Instant::now();
+                let end = get(&exchanger, &peer("n0", &scripted), true).await;
+                assert_eq!(end, (ConnectionEnd::Answered, "drafted".into()));
+                times.push(begun.elapsed());
+            }
+            times.sort_unstable();
+            assert!(times[4] < Duration::from_millis(30), "{times:?}");
+        });
+    }
+
     /// Guards against what comes later on a connection that is already put by, and against a node that stands
     /// where another one stood.
     #[test]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! The shared helper of the socket tests: the gatekeeper as a process and scripted peers round it, all on
 //! loopback and ephemeral ports. Waiting is always for something that happens, with one bound for all of it.
 
+#[allow(dead_code)]
 mod peer;
 
 pub use peer::*;
--- a/tests/common/peer.rs
+++ b/tests/common/peer.rs
@@ -60,6 +60,8 @@
     Raw(String),
     /// Writes this body with status 200 when the test lets it.
     Held(Arc<Mutex<Receiver<String>>>),
+    /// Writes this in two parts, the second as soon as the system lets it, which may wait to be told of the first.
+    Parts([String; 2]),
     /// Writes this and closes the connection.
     Torn(&'static str),
     /// Closes the connection.
@@ -140,6 +142,10 @@
         let text = match reply {
             Reply::Ok(body) => ok(body),
             Reply::Raw(text) => text,
+            Reply::Parts([first, second]) => {
+                let _ = writer.write_all(first.as_bytes());
+                second
+            }
             Reply::Held(hear) => match hear.lock().expect("one listener").recv_timeout(BOUND) {
                 Ok(body) => ok(&body),
                 Err(_) => return,
