Let connections that have just come make way last

Seen on the replayed incident, with counts printed at the frontend: 81 to 175 connections a gatekeeper were closed for room within 100 ms of coming, usual clients' among them, while connections that had asked and stood idle were kept (frontend.rs, unseat). Those under 250 ms old now go last.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -35,6 +35,8 @@
 const TIMEOUT_MOST: Duration = Duration::from_secs(3600);
 /// A connection with no request open on it is closed after this, and a request that began is whole by then.
 const IDLE: Duration = Duration::from_secs(2);
+/// Clients send their first request on a connection within this, even over a slow network.
+const JUST_COME: Duration = Duration::from_millis(250);
 /// The longest head.
 const HEAD_MOST: usize = 16 * 1024;
 /// A client takes an answer within this.
@@ -238,12 +240,18 @@
         Seat { frontend: Rc::clone(self), number, connection }
     }
 
-    /// Makes room by closing the connection that has said nothing for longest; one that has never asked for
-    /// anything goes first, one that a taken request is on never does.
+    /// Makes room by closing the connection that has said nothing for longest: first of those that never asked
+    /// for anything, then of those that did. One that a taken request is on is never closed.
     fn unseat(&self) {
         let mut connections = self.connections.borrow_mut();
         let quiet = connections.iter().filter(|(_, c)| !c.busy.get());
-        let Some(number) = quiet.min_by_key(|(_, c)| (c.asked.get(), c.since.get())).map(|(n, _)| *n) else {
+        // One that has just come may be about to ask: it goes last, as its client would lose that request.
+        let rank = |c: &Connection| match c.asked.get() {
+            true => 1,
+            false if c.since.get().elapsed() < JUST_COME => 2,
+            false => 0,
+        };
+        let Some(number) = quiet.min_by_key(|(_, c)| (rank(c), c.since.get())).map(|(n, _)| *n) else {
             return;
         };
         if let Some(connection) = connections.remove(&number) {
@@ -524,9 +532,9 @@
         String::from_utf8_lossy(&heard[..count]).into_owned()
     }
 
-    /// Guards the usual clients from crowds that say nothing, and taken requests from being closed for room.
+    /// Guards those who have just come and are about to ask, and taken requests, from being closed for room.
     #[test]
-    fn room_is_made_by_the_silent_then_by_the_idle_and_never_by_a_taken_request() {
+    fn room_is_made_by_the_idle_then_by_the_new_and_never_by_a_taken_request() {
         let told = serde_json::from_str(include_str!("../../tests/common/settings.json"));
         let (settings, _) = settings::read(told.expect("JSON")).expect("settings");
         let request = "GET /preview?client=00000000b4d65521 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nRequest-Class: preview\r\nX-Contract: standard\r\nRequest-Timeout: 4\r\nX-Metering: units=1,spread=1,first=0\r\n\r\n";
@@ -543,7 +551,7 @@
             assert!(heard(&mut idle).await.starts_with("HTTP/1.1 503"));
             let mut silent = TcpStream::connect(address).await.expect("it listens");
             let (mut taken, mut sessions) = (Vec::new(), Vec::new());
-            for quiet in [&mut silent, &mut idle] {
+            for quiet in [&mut idle, &mut silent] {
                 let mut client = TcpStream::connect(address).await.expect("it listens");
                 client.write_all(request.as_bytes()).await.expect("it takes it");
                 let input = timeout(BOUND, inputs.recv()).await.expect("an input");
