Make room by idle connections from half of the clients' budget on

Seen on the incident: a third of all tries counted as refused and never reached a gatekeeper. Cause found by a probe with a fifth of the descriptors for clients instead of two: clients count what they keep open and had no connection left for requests, as idle and silent ones were closed only after 2 s or at the full budget (frontend.rs, serve).

From half of the budget on each new connection closes the one idle or silent longest; one that has just come is closed only at the full budget, and what requests may hold stays as it was.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -211,8 +211,11 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    if self.connections.borrow().len() >= self.most {
-                        self.unseat();
+                    // Clients count what they keep open, and have only so many connections: those that stand
+                    // idle are closed well before there is no room for others.
+                    let open = self.connections.borrow().len();
+                    if open >= self.most / 2 {
+                        self.unseat(open >= self.most);
                     }
                     actix_rt::spawn(self.seat().converse(stream));
                     // What it says is heard before the next one is taken: so a request is seen before its
@@ -242,25 +245,25 @@
 
     /// Makes room by closing the connection that has said nothing for longest: first of those that never asked
     /// for anything, then of those that did. One that a taken request is on is never closed.
-    fn unseat(&self) {
+    fn unseat(&self, full: bool) {
         let mut connections = self.connections.borrow_mut();
         let quiet = connections.iter().filter(|(_, c)| !c.busy.get());
-        // One that has just come may be about to ask: it goes last, as its client would lose that request.
+        // One that has just come may be about to ask: it goes last, as its client would lose that request, and
+        // only where there is no other way.
         let rank = |c: &Connection| match c.asked.get() {
             true => 1,
             false if c.since.get().elapsed() < JUST_COME => 2,
             false => 0,
         };
-        let Some(number) = quiet.min_by_key(|(_, c)| (rank(c), c.since.get())).map(|(n, _)| *n) else {
-            return;
-        };
+        let first = quiet.min_by_key(|(_, c)| (rank(c), c.since.get()));
+        let Some(number) = first.filter(|(_, c)| full || rank(c) < 2).map(|(n, _)| *n) else { return };
         if let Some(connection) = connections.remove(&number) {
             connection.unseat.notify_one();
         }
         let (count, told) = self.unseated.get();
         let due = told.is_none_or(|at| at.elapsed() > TELL_EVERY);
         if due {
-            tracing::warn!(connections = count + 1, "crowded: closed silent or idle connections");
+            tracing::info!(connections = count + 1, "closed silent or idle connections to make room");
         }
         self.unseated.set(if due { (0, Some(Instant::now())) } else { (count + 1, told) });
     }
@@ -550,6 +553,8 @@
             idle.write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").await.expect("it takes it");
             assert!(heard(&mut idle).await.starts_with("HTTP/1.1 503"));
             let mut silent = TcpStream::connect(address).await.expect("it listens");
+            // Half full, and the idle one makes way.
+            assert_eq!(heard(&mut idle).await, "");
             let (mut taken, mut sessions) = (Vec::new(), Vec::new());
             for quiet in [&mut idle, &mut silent] {
                 let mut client = TcpStream::connect(address).await.expect("it listens");
