Let spoilt counter answers cut no pace, and first guess latencies at a fifth of the aim

At fault: ending.rs gave spoilt answers and broken calls as time-outs, which rules.rs takes for a crowded counter; and the first guess at a latency, an eighth of the aim, was half of what is seen. Such calls are resets now: dropped, as they may have been added, and no sign of press. ConnectFailed and Full are told again, by never_ran.

--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -47,8 +47,8 @@
 }
 
 impl ConnectionEnd {
-    /// The module's outcome. A counter's call that may have been added must end as a time-out: that is the one
-    /// ending after which the module drops the amount instead of adding it again.
+    /// The module's outcome. A counter's call that may have been added must end as a time-out or a reset: after
+    /// these the module drops the amount instead of adding it again.
     pub fn ending(self, peer: Peer) -> Ending {
         match (self, peer) {
             (ConnectionEnd::Answered, _) => Ending::Ok,
@@ -61,7 +61,7 @@
             (ConnectionEnd::Garbled, Peer::Node) => Ending::Error,
             (ConnectionEnd::NeverWritten, _) => Ending::ConnectFailed,
             (ConnectionEnd::Broken, Peer::Node) => Ending::Reset,
-            (ConnectionEnd::Garbled | ConnectionEnd::Broken, Peer::Counter) => Ending::Timeout,
+            (ConnectionEnd::Garbled | ConnectionEnd::Broken, Peer::Counter) => Ending::Reset,
             (ConnectionEnd::TimedOut { written: true }, _) => Ending::Timeout,
             (ConnectionEnd::TimedOut { written: false }, _) => Ending::ConnectFailed,
             (ConnectionEnd::CalledOff { written: true }, _) => Ending::Cancelled,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -213,8 +213,8 @@
         self.calls.entry(name).or_default().push_back(call);
     }
 
-    /// An answer of the counter. A timed-out add is dropped, one turned away is told again later; both cut
-    /// the pace of calls, and so does an answer after half of the allowed wait.
+    /// An answer of the counter. What may have been added is dropped, what was not is told again later. Silence
+    /// and being turned away cut the pace of calls, and so does an answer after half of the allowed wait.
     fn counted(&mut self, name: CountName, ending: Ending, total: f64, delay: f64) -> Option<(Call, bool)> {
         let queue = self.calls.get_mut(&name)?;
         let told = queue.pop_front()?;
@@ -225,13 +225,15 @@
         let ok = ending == Ending::Ok && total.is_finite();
         let (now, replicas) = (self.now, f64::from(self.s.replicas));
         let late = delay > 0.5 * self.s.count_wait.as_secs_f64();
-        self.misses += 0.1 * (f64::from(u8::from(!ok || late)) - self.misses);
+        // A broken call or a spoilt answer may have been added, and says nothing of what the counter can take.
+        let spoilt = ending == Ending::Reset;
+        self.misses += 0.1 * (f64::from(u8::from(!ok || late)) - self.misses) * f64::from(u8::from(!spoilt));
         if ok && !late {
             self.answered = true;
             // Slow start up to where calls last began to fail, then step by step while more are wanted.
             let factor = if self.pace < self.pace_goal { 1.0 } else { PACE_GROW.min(PACE_UP / self.pace) };
             self.pace = (self.pace * (1.0 + factor)).min(PACE_MOST / replicas);
-        } else if self.misses > PACE_MISS && now - self.cut_at > PACE_CUT_S {
+        } else if !spoilt && self.misses > PACE_MISS && now - self.cut_at > PACE_CUT_S {
             // A counter that answers some calls takes fewer; one that answers none tells nothing.
             if std::mem::take(&mut self.answered) {
                 self.pace_goal = self.pace * PACE_CUT;
@@ -243,7 +245,7 @@
             c.open_calling = false;
             if window == c.open_window && ok {
                 (c.others, c.others_at) = ((total - c.open_told).max(0.0), now);
-            } else if window == c.open_window && ending != Ending::Timeout {
+            } else if window == c.open_window && ending.never_ran() {
                 c.open_told -= amount;
                 c.open_at = now + OPEN_TELL;
             }
@@ -258,7 +260,7 @@
             c.lost += if total < LOST_PART * known { known - total.max(0.0) } else { 0.0 };
             (c.total, c.told_at) = (Some(total.max(0.0)), now);
         } else {
-            c.unsynced += if ending == Ending::Timeout { 0.0 } else { amount };
+            c.unsynced += if ending.never_ran() { amount } else { 0.0 };
             c.sync_at = c.sync_at.min(now + 4.0 * SYNC_MIN);
         }
         Some((told, ok))
@@ -698,7 +700,7 @@
         let aim = s.classes.iter().map(|c| c.aim).max().unwrap_or(Duration::from_secs(1));
         let (name, gain, late_worth, key_window) = (String::new(), 1.0, 0.0, Duration::ZERO);
         s.classes.push(Class { name, aim, gain, late_worth, idempotency: Idempotency::Once, key_window });
-        let seen = s.classes.iter().map(|c| (c.aim.as_secs_f64().max(0.01) / 8.0, 2.0, SEEN_PRIOR)).collect();
+        let seen = s.classes.iter().map(|c| (c.aim.as_secs_f64().max(0.01) / 5.0, 2.0, SEEN_PRIOR)).collect();
         Gateway {
             seen,
             pace: PACE_FIRST / f64::from(s.replicas),
