Without a fresh total, go by the share a gatekeeper had in earlier totals

At fault: every use of 1 / width in the quota part of src/rules.rs (quota_fits, turn, charge). A gateway now learns its share of a customer's known windows, fading over 30 s, beginning at the even share.

Ceilings still go by even shares: their test demands no trust in the counter.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 const SYNC_PART: f64 = 0.25; // sync after this part of the time that the rest lasts: dense near the limit
 const SYNCS_A_WINDOW: f64 = 4.0; // several syncs a window, at the least...
 const SYNC_MIN: f64 = 0.02; // ...but no closer: within a few round trips a total tells nothing new
-const SOON_PART: f64 = 0.5; // past this part of the even share a first total is wanted at once
+const SOON_PART: f64 = 0.5; // past this part of its share a first total is wanted at once
 const STALE_PART: f64 = 0.34; // a total older than this part of a window says too little of the others
 const PACE_LEAST: f64 = 20.0; // calls a second over all gateways while the counter fails: it always drains...
 const PACE_FIRST: f64 = 500.0; // ...before anything is known of it...
@@ -20,7 +20,9 @@
 const PACE_CUT: f64 = 0.7; // ...the pace is cut to this part...
 const PACE_CUT_S: f64 = 0.1; // ...once in so long
 const UNTOLD_MOST: f64 = 10.0; // told charges stand for so many untold ones at the most
-const SHARE_GAIN: (f64, f64) = (1.44, 0.3); // even shares: the first over second and cost beyond
+const SHARE_GAIN: (f64, f64) = (1.44, 0.3); // shares: the first over second and cost beyond
+const PART_PRIOR: f64 = 0.5; // the even share counts for so much of a burst against earlier totals
+const PART_S: f64 = 30.0; // time constant of these
 const ASKED_S: f64 = 20.0; // time constant of what a customer asks at this gateway
 const ASKED_AGE: f64 = 8.0; // head start of a new gateway's age in it: one request is no rate
 const ASKED_OWN: f64 = 0.2; // ...nor counts the one that is judged in full: light customers come once
@@ -83,6 +85,20 @@
     fn limit(&self, plan: &Plan, now: f64) -> f64 {
         (self.store + self.added(plan, now)).min(self.spent() + plan.burst)
     }
+
+    /// This gateway's part of the quota where no total tells: the even share until earlier totals say more.
+    fn part(&self, plan: &Plan) -> f64 {
+        let prior = PART_PRIOR * plan.burst;
+        (self.mine + prior / self.width) / (self.ours + prior).max(1e-9)
+    }
+
+    /// Learns that part from a window that is over, of this length. Where none of its requests came through
+    /// here in the windows since, the other gateways are taken to have gone on as before.
+    fn learn_part(&mut self, length: f64, missed: f64) {
+        let fade = (-length / PART_S).exp();
+        self.mine = self.mine * fade.powf(1.0 + missed) + self.own.min(self.spent());
+        self.ours = self.ours * fade + self.spent();
+    }
 }
 
 impl Gateway {
@@ -106,7 +122,11 @@
                 // as in the store that the quota is. No total known: as if every gateway were asked alike.
                 let turns = (window - c.window).clamp(1, 1000) as f64 * Self::window_s(plan);
                 let known = c.total.is_some() && c.told_at > (now - turns).max(c.seen - 0.5 * turns);
-                let guess = c.width * c.own.min(c.asked.rate(now, ASKED_S) * turns);
+                let guess = c.own.min(c.asked.rate(now, ASKED_S) * turns) / c.part(plan);
+                if known {
+                    let length = Self::window_s(plan);
+                    c.learn_part(length, turns / length - 1.0);
+                }
                 let spent = if known { c.spent() } else { c.spent().max(guess) };
                 self.untold.add(now, c.unsynced.max(0.0), ASKED_S);
                 c.store = (c.store + plan.rate * turns - spent).clamp(-plan.burst, plan.burst);
@@ -123,7 +143,7 @@
     }
 
     /// Does a cost fit the window? Total, charges and cost within the limit; where the total is missing or
-    /// stale (first sync, a silent or slow counter) the gateway's own charges within its even share as well.
+    /// stale (first sync, a silent or slow counter) the gateway's own charges within its share as well.
     /// `Err`: to be asked of the counter first, with the chance where it does not answer.
     fn quota_fits(&mut self, id: &CustomerId, cost: f64) -> Result<bool, f64> {
         let (now, asked) = (self.now, self.asked(id, cost));
@@ -143,10 +163,10 @@
             c.sync_at = c.sync_at.min(c.called_at + 4.0 * SYNC_MIN);
         }
         let fits = c.spent() + cost <= limit;
-        // No fresh total: the even share; below the largest request at random, by what is asked here.
-        let share = limit.max(0.0) / c.width;
+        // No fresh total: its share; below the largest request at random, by what is asked here.
+        let share = limit.max(0.0) * c.part(plan);
         let gain = SHARE_GAIN.0 / (SHARE_GAIN.1 + plan.beyond_costs);
-        let even = gain * plan.rate / c.width / asked.max(1e-9) * share / (c.own + share).max(1e-9);
+        let even = gain * plan.rate * c.part(plan) / asked.max(1e-9) * share / (c.own + share).max(1e-9);
         let drawn = fits && !fresh && c.own + cost > share;
         let below = share < cost.max(self.s.units_top);
         if drawn && below && self.s.may_count && self.draw_call() && self.may_call() {
@@ -175,7 +195,7 @@
         let (limit, spent) = (c.limit(plan, now), c.spent());
         let speed = (spent / elapsed).max(plan.rate);
         let rest = (SYNC_PART * (limit - spent).max(0.0) / speed).clamp(SYNC_MIN, window / SYNCS_A_WINDOW);
-        let soon = c.total.is_none() && c.own > SOON_PART * limit / c.width;
+        let soon = c.total.is_none() && c.own > SOON_PART * limit * c.part(plan);
         let wait = if soon { 0.0 } else { rest * jitter };
         if c.sync_at == f64::INFINITY && !self.draw_call() {
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,10 @@
     pub(crate) lost: f64,
     /// Units that the window started with: what the earlier ones left or owe.
     pub(crate) store: f64,
+    /// Of the units below, those spent at this gateway.
+    pub(crate) mine: f64,
+    /// Units spent over all gateways in the windows whose totals were known, the old ones fading.
+    pub(crate) ours: f64,
     /// What it asks at this gateway.
     pub(crate) asked: Flow,
     /// What it asked here just before, where the open cap is drawn.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -428,6 +428,25 @@
     assert!(calls < 90, "{calls}");
 }
 
+/// Guards customers that come through some gateways more than others from a silent counter: even shares left a
+/// good part of their quotas unused.
+#[test]
+fn a_silent_counter_leaves_a_synced_customer_the_parts_it_had() {
+    let s = Settings { units_top: 1.0, ..settings() }; // every share holds a request: nothing is drawn
+    let mut gateways: Vec<Bench> = (0..2).map(|_| Bench::new(s.clone(), 4)).collect();
+    let (mut counter, mut served) = (Counter::default(), [0, 0]);
+    for step in 0..400 {
+        let (g, silent) = (usize::from(step % 5 == 0), step >= 200); // four in five come through one gateway
+        served[g] += usize::from(gateways[g].serve("rate", "c", 1.0, 2) && silent);
+        for b in &mut gateways {
+            b.wait(0.07);
+            b.count(|name, amount| if silent { (Ending::Timeout, 0.0) } else { counter.add(name, amount) });
+        }
+    }
+    // 14 s at 10 units a second and a burst of 20: by even shares the busy gateway served 19.
+    assert!(served[0] > 90 && served[0] + served[1] <= 160, "{served:?}");
+}
+
 #[test]
 fn true_units_are_settled() {
     let mut b = Bench::new(settings(), 4);
