Ask discovery at a pace that the whole fleet together may keep, and watch on where it was

A third of their dispatches went to nodes that drained or were gone (2756 turned away, 1436 refused), new nodes were never used. Ruled out: discovery being down (16 gatekeepers whose first call got through heard every change), and a short backoff (100 ms doubling to 2 s, half jittered: 1156 calls, still 28 lists told). A backoff that reached 24 s let all of them through after 10 s. At fault: src/net/server_table.rs, PAUSE and `after = None` on each failure; known.rev unused.

Change: the watch goes on from the version held, also from the configuration's, and the whole list is asked for only after a broken or silent connection, or when a lower version shows another life. The first call and each pause are drawn from 60 ms for each gatekeeper of the fleet, doubling up to eightfold: together they ask 17 times a second at the start, and ever less. With 3 gatekeepers the first pause is up to 180 ms. A move of discovery by SIGHUP ends a pause.

Tests: a fleet of 3 to 300 in front of a discovery of 20 calls a second, and when the whole list is asked for.

--- a/src/main.rs
+++ b/src/main.rs
@@ -162,7 +162,14 @@
     );
     actix_rt::spawn(Rc::clone(&frontend).serve(listener));
     let dial = sockets.dial_timeout;
-    actix_rt::spawn(server_table::watch(discovery_at, dial, known, table, nodes, queue.clone()));
+    actix_rt::spawn(server_table::watch(
+        discovery_at,
+        dial,
+        (known, s.replicas, seed),
+        table,
+        nodes,
+        queue.clone(),
+    ));
 
     let max_attempts = s.max_attempts;
     let core = Core::new(Gateway::new(s, seed), Clock::start(), platform, queue.clone(), max_attempts);
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -25,8 +25,13 @@
 const WATCH_SLACK: Duration = Duration::from_secs(1);
 /// A call for the whole list has failed after this.
 const LIST: Duration = Duration::from_secs(2);
-/// Pause after a failed call.
+/// Pause after a first failed call, at the most; it doubles with each further one...
 const PAUSE: Duration = Duration::from_millis(100);
+/// ...but for each gatekeeper of the fleet it is no shorter than this: together they ask for no more than discovery
+/// bears, as all of them lose it at once...
+const PAUSE_EACH: Duration = Duration::from_millis(60);
+/// ...and up to so many times the first, or this if longer.
+const PAUSE_MOST: (u32, Duration) = (8, Duration::from_secs(2));
 
 /// A list in discovery's form.
 #[derive(Debug, Deserialize)]
@@ -135,30 +140,80 @@
     }
 }
 
+/// What to ask discovery next, and when. Every gatekeeper of a fleet does the same at the same moments, so none
+/// of them may ask for more than it lacks, or at a fixed pace.
+struct Cadence {
+    /// The version that is held, where a watch can go on from it.
+    after: Option<u64>,
+    /// Calls that have failed since the last answer.
+    failures: u32,
+    /// Gatekeepers of the fleet, this one included.
+    replicas: u32,
+    rng: fastrand::Rng,
+}
+
+impl Cadence {
+    /// The next call, and how long to wait for its answer.
+    fn call(&self) -> (PathAndQuery, Duration) {
+        match self.after {
+            None => (PathAndQuery::from_static(LIST_AT), LIST),
+            Some(rev) => {
+                let target = format!("{LIST_AT}?after={rev}&wait_ms={}", WATCH.as_millis());
+                (PathAndQuery::try_from(target).expect("digits make a path"), WATCH + WATCH_SLACK)
+            }
+        }
+    }
+
+    /// The wait before a first call: a fleet that starts at once does not ask at once.
+    fn start(&mut self) -> Duration {
+        (PAUSE_EACH * self.replicas).mul_f64(self.rng.f64())
+    }
+
+    /// A list has come. An older version than the one held is of another life of discovery, and changes alone
+    /// say nothing of what it held before: then, and only then, the list is worth no more than to be asked again.
+    fn told(&mut self, list: &List) -> bool {
+        let other_life = !list.all && self.after.is_some_and(|held| list.rev < held);
+        (self.after, self.failures) = (Some(list.rev).filter(|_| !other_life), 0);
+        !other_life
+    }
+
+    /// A call has failed; returns the pause before the next. Discovery that turns a call away lives on, and the
+    /// watch goes on where it was: once a hundred gatekeepers asked for the whole list every 100 ms instead, in
+    /// step, and discovery, which bears a few hundred calls a second, turned all of them away for good. Silence
+    /// and broken connections prove nothing, and a new life may count from nought: then the whole list comes first.
+    fn failed(&mut self, end: ConnectionEnd) -> Duration {
+        if end != ConnectionEnd::Declined {
+            self.after = None;
+        }
+        let first = PAUSE.max(PAUSE_EACH * self.replicas);
+        let most = PAUSE_MOST.1.max(first * PAUSE_MOST.0);
+        let pause = first.saturating_mul(1 << self.failures.min(8)).min(most);
+        self.failures += 1;
+        pause.mul_f64(self.rng.f64())
+    }
+}
+
 /// Watches discovery for as long as the program runs, wherever it is told that discovery is. Connections to
 /// nodes that went, or that are elsewhere now, are closed.
 pub async fn watch(
     mut discovery: tokio::sync::watch::Receiver<SocketAddr>,
     dial: Duration,
-    known: u64,
+    (known, replicas, seed): (u64, u32, u64),
     table: Rc<ServerTable>,
     nodes: Rc<Exchanger>,
     queue: Inputs,
 ) {
     let exchanger = Exchanger::new(dial, WATCH * 2, 2);
     let mut peer = Peer { name: "discovery".into(), address: *discovery.borrow_and_update() };
-    // What the configuration holds may be old and of another life of discovery: the whole list comes first.
-    let mut after = None;
+    // What the configuration holds may be old, so the watch goes on from there: the whole list only where discovery
+    // has begun to count anew since.
+    let rng = fastrand::Rng::with_seed(!seed);
+    let mut cadence = Cadence { after: Some(known), failures: 0, replicas, rng };
     let mut healthy = true;
     tracing::info!(discovery = %peer.address, known, "watching discovery");
+    tokio::time::sleep(cadence.start()).await;
     loop {
-        let (target, within) = match after {
-            None => (PathAndQuery::from_static(LIST_AT), LIST),
-            Some(rev) => {
-                let target = format!("{LIST_AT}?after={rev}&wait_ms={}", WATCH.as_millis());
-                (PathAndQuery::try_from(target).expect("digits make a path"), WATCH + WATCH_SLACK)
-            }
-        };
+        let (target, within) = cadence.call();
         let bounds = Bounds { within, may_begin: Box::new(|| true) };
         let request = Request::plain(Method::GET, target);
         let call = exchanger.exchange(&peer, request, bounds, std::future::pending());
@@ -166,7 +221,7 @@
             biased;
             Ok(()) = discovery.changed() => {
                 // Another discovery counts its versions its own way: the whole list comes first again.
-                (peer.address, after, healthy) = (*discovery.borrow_and_update(), None, true);
+                (peer.address, cadence.after, healthy) = (*discovery.borrow_and_update(), None, true);
                 exchanger.close_unless(|_, address| address == peer.address);
                 tracing::info!(discovery = %peer.address, "watching discovery");
                 continue;
@@ -180,7 +235,10 @@
                 if !std::mem::replace(&mut healthy, true) {
                     tracing::info!(rev = list.rev, "discovery answers again");
                 }
-                after = Some(list.rev);
+                if !cadence.told(&list) {
+                    tracing::warn!(rev = list.rev, "discovery counts anew: the whole list is asked for");
+                    continue;
+                }
                 if list.all || !list.targets.is_empty() {
                     tracing::info!(
                         rev = list.rev,
@@ -198,10 +256,68 @@
                     let unreadable = failed.and_then(Result::err);
                     tracing::warn!(?end, ?unreadable, "discovery fails: the server table stays as it is");
                 }
-                // Silence proves nothing, a new life of discovery may count from nought: ask for the whole list.
-                after = None;
-                tokio::time::sleep(PAUSE).await;
+                // A move of discovery ends the pause; it is noticed above.
+                let mut moved = discovery.clone();
+                let _ = tokio::time::timeout(cadence.failed(end), moved.changed()).await;
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn list(rev: u64, all: bool) -> List {
+        List { rev, all, targets: Vec::new() }
+    }
+
+    fn cadence(replicas: u32, seed: u64) -> Cadence {
+        Cadence { after: Some(41), failures: 0, replicas, rng: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// Guards discovery from the whole fleet: it takes 20 calls a second, in turn, turns one away that has waited
+    /// for 2 s and works on it all the same. With a fixed pause of 100 ms all of a hundred gatekeepers that start
+    /// at once ask ten times a second for good, and hardly any of them ever hears.
+    #[test]
+    fn a_fleet_that_starts_at_once_hears_from_a_discovery_that_bears_little() {
+        for replicas in [3, 30, 100, 300] {
+            let mut fleet: Vec<Cadence> =
+                (0..replicas).map(|n| cadence(replicas, u64::from(n) + 7)).collect();
+            let mut calls: std::collections::BinaryHeap<_> =
+                (0..replicas as usize).map(|n| std::cmp::Reverse((fleet[n].start(), n))).collect();
+            let (mut free, mut heard, mut asked) = (Duration::ZERO, 0, 0);
+            while let Some(std::cmp::Reverse((at, n))) = calls.pop().filter(|c| c.0 .0 < LIST * 20) {
+                asked += 1;
+                let begun = free.max(at);
+                free = begun + Duration::from_millis(50);
+                let late = begun - at > LIST;
+                heard += u32::from(!late);
+                if late {
+                    let pause = fleet[n].failed(ConnectionEnd::Declined);
+                    calls.push(std::cmp::Reverse((at + LIST + pause, n)));
+                }
+            }
+            assert_eq!(heard, replicas, "of {replicas}, {asked} calls");
+            assert!(asked < 4 * replicas, "of {replicas}, {asked} calls");
+        }
+    }
+
+    /// A watch goes on from what is held while discovery lives; what may be another life of it is asked for whole.
+    #[test]
+    fn the_whole_list_is_asked_for_only_where_the_watch_cannot_go_on() {
+        let whole = |c: &Cadence| c.call().0.as_str() == LIST_AT;
+        let mut c = cadence(100, 1);
+        assert!(!whole(&c), "it starts from the version that it was left with");
+        c.failed(ConnectionEnd::Declined);
+        assert!(!whole(&c), "turned away");
+        assert!(c.told(&list(45, false)) && !whole(&c));
+        assert!(!c.told(&list(7, false)) && whole(&c), "another life counts from nought");
+        assert!(c.told(&list(7, true)) && !whole(&c));
+        for end in [ConnectionEnd::Broken, ConnectionEnd::NeverWritten, ConnectionEnd::Garbled] {
+            c.failed(end);
+            assert!(whole(&c), "{end:?}");
+            c.told(&list(7, true));
+        }
+    }
+}
