--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,7 +22,7 @@
 const UNTOLD_MOST: f64 = 10.0; // told charges stand for so many untold ones at the most
 const SHARE_GAIN: (f64, f64) = (1.44, 0.3); // shares: the first over second and cost beyond
 const PART_PRIOR: f64 = 0.5; // the even share counts for so much of a burst against earlier totals
-const GUESS_USE: f64 = 0.5; // part of its rate that a customer is taken to use, as if one unit here had told so
+const GUESS_USE: f64 = 0.5; // part of its rate that a customer is taken to use, as if one unit here told so
 const METER_S: f64 = 3.0; // time constant of what the meter tells of its use: its periods are short...
 const METER_FADE: f64 = 15.0; // ...and it is believed for about so long
 const METER_MOST: f64 = 10.0; // the most that it is believed, in rates
@@ -50,8 +50,8 @@
 const KIND_ALPHA: f64 = 0.04; // weight of the newest outcome in the slowness of a kind of host
 const DRAWS: usize = 8; // draws for two candidates that fit: finds one also with most hosts failing
 const TABLE_S: f64 = 0.5; // the weights that candidates are drawn by are kept so long
-const SUBSET_HOSTS: f64 = 10.0; // a gateway draws from so many hosts at the least: some outlive a lost zone...
-const SUBSET_SHARED: f64 = 20.0; // ...and from so many that so many gateways share each: no one of them weighs
+const SUBSET_HOSTS: f64 = 10.0; // a gateway draws from so many hosts at least: some outlive a lost zone...
+const SUBSET_SHARED: f64 = 20.0; // ...and from so many that so many gateways share each: none weighs much
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 const SLOW_FADE: f64 = 8.0; // what is known of a host's slowness fades so, and it is tried again
 const CROSS_AT: f64 = 1.5; // where crossing zones is charged it must promise to be so many times quicker
@@ -99,9 +99,9 @@
         (self.mine + prior / self.width) / (self.ours + prior).max(1e-9)
     }
 
-    /// Units that all gateways together may have spent in so many seconds, as far as can be told without a total:
-    /// by what the meter told lately, else by what was spent here. At one of a great many gateways one unit here
-    /// tells next to nothing, and taken times their number it would empty a store that is nearly full.
+    /// Units that all gateways may have spent in so many seconds, where no total tells: by what the meter told
+    /// lately, else by what was spent here. At one of very many gateways one unit here tells next to nothing,
+    /// and taken times their number it would empty a store that is nearly full.
     fn guess(&self, plan: &Plan, own: f64, span: f64, now: f64) -> f64 {
         let prior = (GUESS_USE * plan.rate * span).max(1e-9);
         let here = (1.0 + own) / (1.0 / prior + self.part(plan));
