--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -866,6 +866,24 @@
     assert!(light > 55 && heavy < 10 && (10..50).contains(&stranger), "of 60: {served:?}");
 }
 
+/// One of many gatekeepers meets a host once in seconds: what it learnt of a failing one must outlive that, or each of
+/// them pays for it again and again. Then the host is tried once more.
+#[test]
+fn a_host_that_failed_once_is_left_alone_for_a_quarter_of_a_minute() {
+    let mut b = Bench::new(Settings { max_attempts: 1, ..settings() }, 3);
+    let (mut failed, mut again) = (None, None);
+    for _ in 0..400 {
+        b.wait(0.1);
+        let host = sent(&b.ask("read", "free", "c", 1.0, 2)).expect("sent");
+        let bad = host == hid(0) && failed.is_none();
+        again = again.or(failed.filter(|_| host == hid(0)).map(|at: f64| b.now - at));
+        failed = failed.or(Some(b.now).filter(|_| bad));
+        b.end(b.next, 0, &host, if bad { Ending::Error } else { Ending::Ok }, 0.0);
+    }
+    let again = again.expect("it is tried again");
+    assert!((12.0..30.0).contains(&again), "after {again} s");
+}
+
 /// Guards hosts from work that is thrown away: what takes several times the mean is long wherever it goes, and to
 /// begin it anew at the fourth mean wasted a third of all preview work.
 #[test]
