--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,6 +42,7 @@
 const SUSPECT_AT: f64 = 0.3; // share of a class's failures at which its requests pass a host over
 const HEALTH_MEMORY: f64 = 6.0; // outcomes that a host's failures are judged by; the first weighs one half
 const HEALTH_FADE: f64 = 30.0; // what is known of failures fades so, and the host is tried again
+const HEARD_S: f64 = 1.0; // a host that answered so lately lives, whatever else it refuses
 const SLOW_ALPHA: f64 = 0.18; // weight of the newest outcome in a host's slowness
 const IDLE_LEAST: f64 = 0.5; // connections are told apart by how long they stood idle: up to this...
 const IDLE_PRIOR: f64 = 2.0; // ...each further span twice as long; so many good outcomes are taken as given
@@ -99,8 +100,8 @@
         (self.mine + prior / self.width) / (self.ours + prior).max(1e-9)
     }
 
-    /// Units that all gateways may have spent in so many seconds, where no total tells: by what the meter told
-    /// lately, else by what was spent here. At one of very many gateways one unit here tells next to nothing,
+    /// Units that all gateways may have spent in so many seconds, where no total tells: by what the meter
+    /// told lately, else by what was spent here. At one of very many gateways one unit tells next to nothing,
     /// and taken times their number it would empty a store that is nearly full.
     fn guess(&self, plan: &Plan, own: f64, span: f64, now: f64) -> f64 {
         let prior = (GUESS_USE * plan.rate * span).max(1e-9);
@@ -421,7 +422,9 @@
             (h.zone, h.group, h.nominal, h.ready, h.started) = (e.zone, e.group, nominal, ready, started);
             h.kind = e.kind;
         }
-        self.hosts.retain(|_, h| h.ready || h.out > 0);
+        // What is known of a host outlives an empty list, or one that lost it for a moment.
+        let fresh = |x: &Health| now - x.at < HEALTH_FADE;
+        self.hosts.retain(|_, h| h.ready || h.out > 0 || h.health.iter().any(fresh));
         self.kinds.retain(|kind, _| self.hosts.values().any(|h| h.kind == *kind));
         self.table_until = now;
     }
@@ -570,16 +573,23 @@
             let kind = self.kinds.entry(h.kind.clone()).or_insert(1.0);
             *kind += if cold { 0.0 } else { KIND_ALPHA * (ratio - *kind) };
         }
+        // Refused by a host that answered just now: its table of connections is full, which is no failure.
+        let refused = ending == Ending::ConnectFailed;
+        let full = refused && now - h.heard < HEARD_S;
+        h.heard = match ending {
+            Ending::Ok | Ending::Error | Ending::Full => now,
+            _ if refused => f64::NEG_INFINITY, // a second time without an answer in between it is one
+            _ => h.heard,
+        };
         let failed = match ending {
             Ending::Ok => 0.0,
+            Ending::ConnectFailed if full => 0.3,
             Ending::Error | Ending::ConnectFailed | Ending::Reset => 1.0,
             Ending::Full => 0.3,
             Ending::Timeout | Ending::Cancelled | Ending::Moot => return, // neither health nor failure
         };
         h.health.resize_with(classes, Health::default);
-        for (_, x) in
-            h.health.iter_mut().enumerate().filter(|(c, _)| ending == Ending::ConnectFailed || *c == class)
-        {
+        for (_, x) in h.health.iter_mut().enumerate().filter(|(c, _)| refused && !full || *c == class) {
             x.note(now, failed, 1.0, HEALTH_MEMORY, HEALTH_FADE);
         }
     }
@@ -723,9 +733,6 @@
         }
         self.judge(&host, class, ending, delay.as_secs_f64() / work.max(1e-6));
         self.connection(&host, idle, ending, actions);
-        if self.hosts.get(&host).is_some_and(|h| !h.ready && h.out == 0) {
-            self.hosts.remove(&host);
-        }
         self.opened(&customer, -1.0);
         if let Some((c, told)) = self.customers.get_mut(&customer).zip(metered) {
             let kept = ((c.metered_at - self.now) / METER_S).exp();
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,6 +144,8 @@
     pub(crate) started: Option<f64>,
     /// When its connection was opened or last heard of; `None`: there is none.
     pub(crate) used: Option<f64>,
+    /// When it last answered anything.
+    pub(crate) heard: f64,
     /// Attempts out there.
     pub(crate) out: u32,
     /// Work out there, in seconds of expected latency.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -884,6 +884,44 @@
     assert!((12.0..30.0).contains(&again), "after {again} s");
 }
 
+/// A host whose table of connections is full refuses new ones and serves on: it is no dead one. One that refuses and
+/// says nothing else is.
+#[test]
+fn a_host_that_refuses_connections_between_answers_is_not_taken_for_dead() {
+    for (alive, least, most) in [(true, 40, 400), (false, 0, 12)] {
+        let mut b = Bench::new(Settings { max_attempts: 1, ..settings() }, 6);
+        let mut met = 0;
+        for n in 0..400 {
+            b.wait(0.05);
+            let host = sent(&b.ask("read", "free", "c", 1.0, 2)).expect("sent");
+            met += usize::from(host == hid(0));
+            let refused = host == hid(0) && (!alive || n > 40 && n % 4 == 0);
+            b.end(b.next, 0, &host, if refused { Ending::ConnectFailed } else { Ending::Ok }, 0.0);
+        }
+        assert!((least..=most).contains(&met), "alive {alive}: met {met} times of 400");
+    }
+}
+
+/// An empty list, or one that loses a host for a moment, must not make a failing host a good one.
+#[test]
+fn a_list_that_comes_empty_takes_nothing_from_what_is_known_of_health() {
+    let mut b = Bench::new(Settings { max_attempts: 1, ..settings() }, 6);
+    let list: Vec<HostEntry> = (0..6).map(|h| entry(h, Availability::Ready)).collect();
+    let mut met = 0;
+    for n in 0..100 {
+        b.wait(0.05);
+        if n == 50 {
+            b.list(ListScope::Replace, Vec::new());
+            assert!(refused(&b.ask("read", "free", "c", 1.0, 2)), "nobody is on the list");
+            b.list(ListScope::Replace, list.clone());
+        }
+        let host = sent(&b.ask("read", "free", "c", 1.0, 2)).expect("sent");
+        met += usize::from(host == hid(0));
+        b.end(b.next, 0, &host, if host == hid(0) { Ending::Error } else { Ending::Ok }, 0.0);
+    }
+    assert_eq!(met, 1, "it fails once");
+}
+
 /// Guards hosts from work that is thrown away: what takes several times the mean is long wherever it goes, and to
 /// begin it anew at the fourth mean wasted a third of all preview work.
 #[test]
