--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -922,6 +922,24 @@
     assert_eq!(met, 1, "it fails once");
 }
 
+/// What a list says of hosts nobody knows, twice or in the wrong order, neither ends the program nor spoils the rest.
+#[test]
+fn a_list_of_unknown_hosts_harms_nothing() {
+    let mut b = Bench::new(settings(), 4);
+    for availability in [Availability::Gone, Availability::Draining, Availability::Gone] {
+        b.list(
+            ListScope::Update,
+            vec![entry(9, availability), entry(9, availability), entry(3, availability)],
+        );
+    }
+    for _ in 0..40 {
+        b.wait(0.1);
+        let host = sent(&b.ask("read", "free", "c", 1.0, 2)).expect("the others serve");
+        assert!(host != hid(9) && host != hid(3), "{host:?} is not to be used");
+        b.end(b.next, 0, &host, Ending::Ok, 0.0);
+    }
+}
+
 /// Guards hosts from work that is thrown away: what takes several times the mean is long wherever it goes, and to
 /// begin it anew at the fourth mean wasted a third of all preview work.
 #[test]
