Hand the decision module the halls' shares: hosts weighted by them, the unplaced refused

The halls module bounds spill by headroom (node_rate: what a node serves a second) over the gatekeepers that spill, and a lost hall returns half open after its hold-off with its ramp starting at nothing.

--- a/src/halls/detect.rs
+++ b/src/halls/detect.rs
@@ -105,6 +105,11 @@
         Some(n.hall)
     }
 
+    /// A hall begins its return: the silences that lost it are forgotten, so that only new ones count.
+    pub(crate) fn forget_silence(&mut self, hall: usize) {
+        self.nodes.values_mut().filter(|n| n.hall == hall).for_each(|n| n.silent_since = None);
+    }
+
     /// Reads the evidence on one hall. `fresh` is how long a refusal or an answer counts.
     pub(crate) fn read(&self, hall: usize, high_water: f64, now: f64, fresh: f64) -> Reading {
         let nodes: Vec<&NodeSeen> = self.nodes.values().filter(|n| n.hall == hall).collect();
--- a/src/halls/mod.rs
+++ b/src/halls/mod.rs
@@ -4,8 +4,9 @@
 //! it must never choose a node, retry or refuse a session itself.
 //!
 //! The states run: `Whole` or `Thinned` (by health) → `Lost` (silence on two nodes, no answer since) →
-//! `Returning` (answers for the hold-off, or nodes back on the table) → `Whole`/`Thinned` once the ramp is
-//! over. A gatekeeper whose own hall answers while every other hall with nodes is lost is itself the one cut
+//! `Returning` (half open once the hold-off is over: its ramp starts at nothing, and silence on two nodes
+//! makes it `Lost` again, with the hold-off doubled) → `Whole`/`Thinned` once the ramp is over. Gatekeepers
+//! may not probe nodes, so the few first dispatches of the ramp are the trials. A gatekeeper whose own hall answers while every other hall with nodes is lost is itself the one cut
 //! off: it spills nowhere ([`Plan::isolated`]).
 
 pub mod detect;
@@ -167,10 +168,9 @@
             let hold = ramp.hold(&self.settings.ramp);
             let next = match hall.state {
                 _ if hall.high_water <= 0.0 => HallState::Whole,
-                HallState::Lost => match hall.answering_since {
-                    Some(since) if now - since >= hold && reading.answering => HallState::Returning,
-                    _ => HallState::Lost,
-                },
+                // Half open after the hold-off: the ramp begins at nothing, and silence ends it again.
+                HallState::Lost if now - hall.since >= hold => HallState::Returning,
+                HallState::Lost => HallState::Lost,
                 _ if reading.silent => HallState::Lost,
                 HallState::Returning if !ramp.settle(now, &self.settings.ramp) => HallState::Returning,
                 _ if reading.health < 1.0 - 1e-9 => HallState::Thinned,
@@ -182,7 +182,10 @@
                         ramp.lost(now, &self.settings.ramp);
                         hall.answering_since = None;
                     }
-                    HallState::Returning => ramp.returning(now),
+                    HallState::Returning => {
+                        ramp.returning(now);
+                        self.evidence.forget_silence(h);
+                    }
                     _ => {}
                 }
                 (hall.state, hall.since) = (next, now);
@@ -226,5 +229,47 @@
     }
 }
 
+impl Halls {
+    /// Capacity by hall: the sum of nominal sizes of its ready nodes on the table.
+    pub fn capacity(&self) -> Vec<f64> {
+        let mut cap = vec![0.0; self.seen.len()];
+        for n in self.evidence.nodes.values().filter(|n| n.ready) {
+            cap[n.hall] += n.nominal;
+        }
+        cap
+    }
+
+    /// The plan with spill bounded: a hall other than this gatekeeper's own takes no more than its headroom
+    /// under `spill_use`, split over the gatekeepers that spill, of `rate` (this gatekeeper's dispatches a
+    /// second); the rest is unplaced. `node_rate` is what a node of size 1 serves a second; 0: not bounded.
+    /// Use is taken as even over the fleet, from this gatekeeper's rate; the gatekeepers that spill as
+    /// those of the halls that are lost or thinned, by their capacity, as every gatekeeper sees the same.
+    pub fn bounded(&self, now: f64, rate: f64, replicas: u32, node_rate: f64) -> (Plan, Vec<f64>) {
+        let mut plan = self.plan(now);
+        let cap = self.capacity();
+        let high: Vec<f64> = self.seen.iter().map(|h| h.high_water).collect();
+        let whole: f64 = high.iter().sum();
+        let mut limits = vec![f64::INFINITY; cap.len()];
+        if node_rate <= 0.0 || rate.is_nan() || rate <= 0.0 || whole <= 0.0 {
+            return (plan, limits);
+        }
+        let replicas = f64::from(replicas.max(1));
+        let used = (rate * replicas / (node_rate * whole)).max(0.0);
+        let missing: f64 = (0..cap.len())
+            .map(|h| (high[h] - cap[h] * f64::from(u8::from(plan.halls[h].0 != HallState::Lost))).max(0.0))
+            .sum();
+        let spillers = (replicas * missing / whole).ceil().max(1.0) as u32;
+        for h in (0..cap.len()).filter(|&h| Some(h) != self.own) {
+            limits[h] = tiers::spill_limit(cap[h] * node_rate, used, self.settings.spill_use, spillers);
+            let most = limits[h] / rate;
+            if plan.halls[h].1 > most {
+                plan.unplaced += plan.halls[h].1 - most;
+                plan.halls[h].1 = most;
+            }
+        }
+        (plan, limits)
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/halls/settings.rs
+++ b/src/halls/settings.rs
@@ -55,6 +55,8 @@
     pub overprovisioning: f64,
     /// Use of a hall up to which it takes spill.
     pub spill_use: f64,
+    /// Dispatches a second that a node of size 1 serves; 0: unknown, spill is not bounded.
+    pub node_rate: f64,
     /// A reply missing for so long is silence; refusals and answers count so long.
     pub notice: Duration,
     /// The way back.
@@ -69,6 +71,7 @@
             halls: Vec::new(),
             overprovisioning: 1.4,
             spill_use: 0.8,
+            node_rate: 0.0,
             notice: Duration::from_millis(1500),
             ramp: RampSettings { ramp: 18.0, jitter: 0.25, hold: 2.0, hold_most: 60.0 },
         }
@@ -84,6 +87,7 @@
         let own = r.text("own");
         let overprovisioning = r.number("overprovisioning", d.overprovisioning, (1.0, 4.0));
         let spill_use = r.number("spill_use", d.spill_use, (0.05, 1.0));
+        let node_rate = r.number("node_rate", 0.0, (0.0, 1e6));
         let notice = r.seconds("notice", 1.5, (0.1, 30.0));
         let hold = r.number("hold", d.ramp.hold, (0.1, 60.0));
         let ramp = RampSettings {
@@ -172,7 +176,7 @@
             }
         }
         r.finish();
-        Some(HallSettings { key, own, halls, overprovisioning, spill_use, notice, ramp })
+        Some(HallSettings { key, own, halls, overprovisioning, spill_use, node_rate, notice, ramp })
     }
 
     /// Reads a whole file that holds (at least) a `halls` record; other records are no business of halls.
@@ -183,7 +187,8 @@
     /// What is in force, one line a setting, for `whinstall check`.
     pub fn describe(&self) -> String {
         let mut out = format!(
-            "halls by {}; own {}; overprovisioning {}; spill up to {} use; silence after {:.2} s; \
+            "halls by {}; own {}; overprovisioning {}; spill up to {} use of {} a second a node; \
+             silence after {:.2} s; \
              ramp {} s (jitter {}), hold-off {} s doubling to {} s\n",
             match self.key {
                 HallKey::Zone => "zone",
@@ -192,6 +197,7 @@
             self.own.as_deref().unwrap_or("(the gatekeeper's zone)"),
             self.overprovisioning,
             self.spill_use,
+            self.node_rate,
             self.notice.as_secs_f64(),
             self.ramp.ramp,
             self.ramp.jitter,
--- a/src/halls/tests.rs
+++ b/src/halls/tests.rs
@@ -94,13 +94,25 @@
     assert_eq!(h.state(1).unwrap().0, HallState::Thinned, "one silent node is no cut");
     h.seen(1.05, "hall-b/1", Seen::Silent);
     assert_eq!(h.state(1).unwrap(), (HallState::Lost, 1.05));
-    // Answers again: returns after the hold-off, then ramps over 10 s.
-    all(&mut h, "hall-b", 5.0, Seen::Answered);
+    h.step(2.0);
     assert_eq!(h.state(1).unwrap().0, HallState::Lost, "held off");
-    all(&mut h, "hall-b", 6.0, Seen::Answered);
+    assert_eq!(h.plan(2.0).halls[1].1, 0.0);
+    // Half open after the hold-off of 1 s: the ramp starts at nothing and rises over 10 s.
+    h.step(2.1);
+    assert_eq!(h.state(1).unwrap(), (HallState::Returning, 2.1));
+    all(&mut h, "hall-b", 3.0, Seen::Answered);
+    h.step(7.1);
     assert_eq!(h.state(1).unwrap().0, HallState::Returning);
-    h.seen(11.0, "hall-b/0", Seen::Answered);
-    h.step(16.5);
+    // Still silent at its first trials: lost again, and held off twice as long.
+    let mut again = h.clone();
+    again.seen(7.2, "hall-b/2", Seen::Silent);
+    again.seen(7.3, "hall-b/3", Seen::Silent);
+    assert_eq!(again.state(1).unwrap().0, HallState::Lost);
+    again.step(9.2);
+    assert_eq!(again.state(1).unwrap().0, HallState::Lost, "2 s now");
+    again.step(9.4);
+    assert_eq!(again.state(1).unwrap().0, HallState::Returning);
+    h.step(12.2);
     assert_eq!(h.state(1).unwrap().0, HallState::Whole);
 }
 
@@ -155,6 +167,24 @@
     assert!(holds.windows(2).all(|w| w[1] > w[0]), "hold-offs grow: {holds:?}");
 }
 
+#[test]
+fn spill_into_a_full_fleet_is_unplaced() {
+    let mut h = halls();
+    h.seen(1.0, "hall-a/0", Seen::Silent);
+    h.seen(1.0, "hall-a/1", Seen::Silent);
+    // Twelve nodes serving ten a second each; three gatekeepers. At 90% use nothing may spill.
+    let (plan, limits) = h.bounded(1.0, 36.0, 3, 10.0);
+    assert_eq!(plan.halls[1].1 + plan.halls[2].1, 0.0);
+    assert!((plan.unplaced - 1.0).abs() < 1e-9);
+    assert_eq!(limits[1], 0.0);
+    // At 40% use, hall-b may take (0.8 - 0.4) x 40 a second over the one gatekeeper that spills.
+    let (plan, limits) = h.bounded(1.0, 16.0, 3, 10.0);
+    assert!((limits[1] - 16.0).abs() < 1e-9, "{limits:?}");
+    assert!((plan.halls[1].1 - 2.0 / 3.0).abs() < 1e-9, "under its limit: {plan:?}");
+    let (plan, _) = h.bounded(1.0, 16.0, 3, 0.0);
+    assert_eq!(plan.unplaced, 0.0, "no node rate: not bounded");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
@@ -186,6 +216,21 @@
         prop_assert!(each * f64::from(spillers) <= (target - used).max(0.0) * capacity + 1e-9);
     }
 
+    #[test]
+    fn bounded_spill_never_passes_the_limits(rate in 0.1f64..200.0, replicas in 1u32..100, node_rate in 0.1f64..50.0, cut in prop::collection::vec(any::<bool>(), 3)) {
+        let mut h = halls();
+        for (i, hall) in ["hall-a", "hall-b", "hall-c"].iter().enumerate().filter(|(i, _)| cut[*i]) {
+            h.seen(1.0, &format!("{hall}/0"), Seen::Silent);
+            h.seen(1.0 + i as f64 * 0.0, &format!("{hall}/1"), Seen::Silent);
+        }
+        let (plan, limits) = h.bounded(1.0, rate, replicas, node_rate);
+        for (part, limit) in plan.halls.iter().map(|x| x.1).zip(limits).skip(1) {
+            prop_assert!(part * rate <= limit + 1e-9);
+        }
+        let sum: f64 = plan.halls.iter().map(|x| x.1).sum::<f64>() + plan.unplaced;
+        prop_assert!((sum - 1.0).abs() < 1e-9);
+    }
+
     #[test]
     fn a_ramp_never_jumps(steps in prop::collection::vec(0.0f64..2.0, 1..100), unit in 0.0f64..1.0, ramp in 1.0f64..60.0, jitter in 0.0f64..0.9) {
         let s = ramp::RampSettings { ramp, jitter, hold: 1.0, hold_most: 10.0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -298,6 +298,14 @@
         /// Time since the call.
         delay: Duration,
     },
+    /// Shares of load by hall, from the halls' module: a factor on each host's size (0: its hall takes
+    /// nothing now), and the part of requests that fits in no hall. Never told: no halls in force.
+    Halls {
+        /// Hosts and their factors; hosts not named keep theirs.
+        parts: Vec<(HostId, f64)>,
+        /// Part of requests to refuse at once, those of least worth for their work first.
+        unplaced: f64,
+    },
     /// A timer is due.
     Timer {
         /// The token it was set with.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -195,13 +195,8 @@
         let drawn = fits && !fresh && c.own + cost > share;
         let believed = c.believed(now);
         let below = share < cost.max(self.s.units_top);
-        if drawn
-            && below
-            && (even < 1.0 || believed < 0.5)
-            && self.s.may_count
-            && self.draw_call()
-            && self.may_call()
-        {
+        let ask = drawn && below && (even < 1.0 || believed < 0.5);
+        if ask && self.s.may_count && self.draw_call() && self.may_call() {
             self.customers.entry(id.clone()).and_modify(|c| c.sync_at = f64::INFINITY);
             return Err(even);
         }
@@ -429,6 +424,15 @@
         self.table_until = now;
     }
 
+    /// The halls' shares: a factor on each host's size (0: none), and the part of requests that fits in no
+    /// hall, refused at once, least worth for its work first. Crossing zones is then judged by these alone.
+    fn halls_told(&mut self, parts: Vec<(HostId, f64)>, unplaced: f64) {
+        for (id, part) in parts {
+            self.hosts.entry(id).and_modify(|h| h.part = Some(sane(part)));
+        }
+        (self.unplaced, self.halls, self.table_until) = (sane(unplaced).min(1.0), true, self.now);
+    }
+
     /// Part of its full capacity that a host surely has.
     fn warmth(&self, h: &Host) -> f64 {
         let Some(started) = h.started else { return 1.0 };
@@ -479,8 +483,8 @@
         for (id, h) in self.hosts.iter().filter(|(_, h)| h.ready) {
             let warmth = self.warmth(h);
             self.ready += warmth;
-            let far = self.s.cross_zone_price > 0.0 && h.zone != self.s.zone;
-            rings[usize::from(far)].push((hash(&id.0), h.nominal * warmth, id, h));
+            let far = !self.halls && self.s.cross_zone_price > 0.0 && h.zone != self.s.zone;
+            rings[usize::from(far)].push((hash(&id.0), h.nominal * warmth * h.part.unwrap_or(1.0), id, h));
         }
         let mut tables: [Vec<(f64, HostId)>; 2] = Default::default();
         for (ring, table) in rings.iter_mut().zip(&mut tables) {
@@ -538,7 +542,7 @@
         };
         let warm = self.warmth(h) >= 1.0
             || (self.cold_level(h) >= 0.0 && need.work <= COLD_LARGEST * self.mean_latency());
-        h.ready && in_group && warm && !need.tried.contains(id)
+        h.ready && h.part != Some(0.0) && in_group && warm && !need.tried.contains(id)
     }
 
     /// The host for an attempt. With no new one to be had, a warm one that was tried already.
@@ -825,6 +829,7 @@
             }
             Event::Timer { token } if token == "tick" => self.timer_at = f64::INFINITY,
             Event::Timer { token } if token == "subscribe" => actions.push(Action::Subscribe),
+            Event::Halls { parts, unplaced } => self.halls_told(parts, unplaced),
             Event::Probed { .. } | Event::Timer { .. } => {}
         }
         self.upkeep(actions);
@@ -843,7 +848,8 @@
         let work = self.expected(class, units);
         let density = self.s.classes[class].gain * price * units / work.max(1e-6);
         self.density += 0.02 * (density - self.density);
-        let hopeless = work > HOPELESS * left;
+        let unplaced = self.unplaced > 0.0 && self.rng.f64() * density < self.unplaced * self.density;
+        let hopeless = unplaced || work > HOPELESS * left;
         // Answers begin to come after a mean latency, and tell something after another one.
         let mean = self.mean_latency();
         let age = self.now - self.serving.unwrap_or(self.now) - mean;
--- a/src/state.rs
+++ b/src/state.rs
@@ -160,6 +160,8 @@
     pub(crate) cold: f64,
     /// When that was last brought up to date.
     pub(crate) cold_at: f64,
+    /// Its hall's factor on its size; `None`: no halls in force.
+    pub(crate) part: Option<f64>,
 }
 
 /// One attempt of a request.
@@ -266,6 +268,10 @@
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// Mean latency and mean units, by class, and the answers that they go by.
     pub(crate) seen: Vec<(f64, f64, f64)>,
+    /// Are halls in force? Then they, not the price of crossing, decide the shares of zones.
+    pub(crate) halls: bool,
+    /// Part of requests that fits in no hall.
+    pub(crate) unplaced: f64,
     /// Work a second sent to warm hosts.
     pub(crate) sent: Flow,
     /// Answers a second.
@@ -315,6 +321,8 @@
             ready: Default::default(),
             requests: Default::default(),
             seen: Default::default(),
+            halls: false,
+            unplaced: 0.0,
             sent: Default::default(),
             done: Default::default(),
             lost: Default::default(),
