--- a/src/main.rs
+++ b/src/main.rs
@@ -98,8 +98,19 @@
     fixed: Fixed,
     counter: counter::Counter,
     discovery: watch::Sender<SocketAddr>,
+    (halls, queue): (Option<std::path::PathBuf>, net::Inputs),
 ) {
     while hangup.recv().await.is_some() {
+        match halls.as_deref().map(halls_from) {
+            Some(Ok(settings)) => {
+                tracing::info!("SIGHUP: settings of halls read again");
+                let _ = queue.send(Input::Halls(Box::new(settings)));
+            }
+            Some(Err(message)) => {
+                tracing::warn!(message, "SIGHUP: settings of halls not usable, the old ones stay")
+            }
+            None => {}
+        }
         let now = match configuration(&path) {
             Ok((now, ..)) => now,
             Err(message) => {
@@ -119,7 +130,10 @@
     }
 }
 
-async fn serve(path: String, (c, s, sockets): Told) -> Result<(), String> {
+/// Settings of halls in force, and the file that they come from.
+type HallsFrom = Option<(std::path::PathBuf, whinstall::halls::HallSettings)>;
+
+async fn serve(path: String, (c, s, sockets): Told, halls: HallsFrom) -> Result<(), String> {
     let fixed = c.fixed();
     let seed = u64::from_str_radix(&c.seed, 16).map_err(|e| format!("seed: {e}"))?;
     let listener = tokio::net::TcpListener::bind(c.listen).await;
@@ -147,7 +161,8 @@
         queue.clone(),
     );
     let (discovery, discovery_at) = watch::channel(c.discovery);
-    actix_rt::spawn(reload(hangup, path, fixed, counter.clone(), discovery));
+    let halls_file = halls.as_ref().map(|h| h.0.clone());
+    actix_rt::spawn(reload(hangup, path, fixed, counter.clone(), discovery, (halls_file, queue.clone())));
     let platform = Platform {
         dispatcher: dispatch::Dispatcher::new(Rc::clone(&nodes), Rc::clone(&table), queue.clone()),
         counter,
@@ -172,7 +187,13 @@
     ));
 
     let max_attempts = s.max_attempts;
-    let core = Core::new(Gateway::new(s, seed), Clock::start(), platform, queue.clone(), max_attempts);
+    let (zone, ordinal, replicas) = (s.zone.clone(), s.ordinal, s.replicas);
+    let clock = Clock::start();
+    let mut core = Core::new(Gateway::new(s, seed), clock, platform, queue.clone(), max_attempts);
+    if let Some((file, settings)) = halls {
+        tracing::info!(file = %file.display(), "halls in force");
+        core = core.with_halls(net::halls::HallsDesk::new(settings, &zone, ordinal, replicas, clock.now()));
+    }
     let mut core = actix_rt::spawn(core.run(inputs));
     tracing::info!(name = c.name, %listen, "serving");
 
@@ -197,6 +218,26 @@
 struct Cli {
     #[command(subcommand)]
     command: Option<Command>,
+    /// Settings of halls (as `deploy/halls.cue`): tiers, bounded spill, the way back. Without it, nodes are
+    /// chosen as before. Read again at SIGHUP; a file that cannot be used then changes nothing.
+    #[arg(long, global = true, value_name = "FILE")]
+    halls: Option<std::path::PathBuf>,
+}
+
+/// Reads the settings of halls, or says in one line what is wrong.
+fn halls_from(file: &std::path::Path) -> Result<whinstall::halls::HallSettings, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    match whinstall::halls::HallSettings::load(&text) {
+        Ok(Some(halls)) => Ok(halls),
+        Ok(None) => Err(format!("{}: no `halls` record", file.display())),
+        Err(errors) => {
+            let more = match errors.len() - 1 {
+                0 => String::new(),
+                n => format!(" (and {n} more: `whinstall check` names them)"),
+            };
+            Err(format!("{}:{}{more}", file.display(), errors[0]))
+        }
+    }
 }
 
 #[derive(clap::Subcommand)]
@@ -241,9 +282,14 @@
     let filter = tracing_subscriber::EnvFilter::try_from_default_env();
     let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+    let halls = cli.halls.as_deref().map(halls_from).transpose();
     let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_owned());
-    let told = path.and_then(|path| configuration(&path).map(|told| (path, told)));
-    let served = told.and_then(|(path, told)| actix_rt::System::new().block_on(serve(path, told)));
+    let told =
+        halls.and_then(|halls| path.and_then(|path| configuration(&path).map(|told| (path, told, halls))));
+    let served = told.and_then(|(path, told, halls)| {
+        let halls = halls.map(|settings| (cli.halls.clone().unwrap_or_default(), settings));
+        actix_rt::System::new().block_on(serve(path, told, halls))
+    });
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,6 +3,7 @@
 //! header, a path or a shape of JSON: whatever a front speaks, sessions come in and answers go out as here.
 
 use super::ending::{ConnectionEnd, Peer};
+use super::halls::HallsDesk;
 use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::rc::Rc;
@@ -12,6 +13,8 @@
 
 /// A session is ended by the core itself so long after its client gave up, should nothing else have ended it.
 const OVERDUE: Duration = Duration::from_millis(5);
+/// Halls in force are looked at this often, for their ramps and hold-offs.
+const HALLS_LOOK: Duration = Duration::from_millis(250);
 
 /// The module's clock: Unix time, so that every gatekeeper has the same windows and a node's start can be told
 /// against it, but it never jumps.
@@ -145,6 +148,8 @@
     },
     /// The server table has changed.
     ServerTable(ListScope, Vec<HostEntry>),
+    /// Settings of halls read again: they replace those in force, if any.
+    Halls(Box<whinstall::halls::HallSettings>),
 }
 
 /// The way into the queue.
@@ -163,6 +168,9 @@
 enum Timer {
     Module(String),
     Overdue(RequestId),
+    /// A dispatch that has had no answer for the halls' silence span, if still out.
+    Silence(RequestId, u32, HostId),
+    Halls,
 }
 
 /// The state of the task.
@@ -176,6 +184,7 @@
     timers: BTreeMap<(Duration, u64), Timer>,
     timers_set: u64,
     actions: Vec<Action>,
+    halls: Option<HallsDesk>,
 }
 
 impl<P: Ports> Core<P> {
@@ -191,6 +200,23 @@
             timers: BTreeMap::new(),
             timers_set: 0,
             actions: Vec::new(),
+            halls: None,
+        }
+    }
+
+    /// Puts halls in force: from now on hosts are weighed by their halls' shares.
+    pub fn with_halls(mut self, desk: HallsDesk) -> Self {
+        self.halls = Some(desk);
+        let at = self.clock.now() + HALLS_LOOK;
+        self.set_timer(at, Timer::Halls);
+        self
+    }
+
+    /// Tells the module the halls' shares where they changed.
+    fn tell_halls(&mut self) {
+        let now = self.clock.now();
+        if let Some((parts, unplaced)) = self.halls.as_mut().and_then(|d| d.changed(now)) {
+            self.handle(Event::Halls { parts, unplaced });
         }
     }
 
@@ -231,6 +257,17 @@
             match entry.remove() {
                 Timer::Module(token) => self.handle(Event::Timer { token }),
                 Timer::Overdue(id) => self.overdue(id),
+                Timer::Silence(id, number, node) => {
+                    let out = self.sessions.get(&id).and_then(|s| s.dispatches.get(number as usize));
+                    if let (Some(Some(_)), Some(desk)) = (out, self.halls.as_mut()) {
+                        desk.silent(now, &node);
+                        self.tell_halls();
+                    }
+                }
+                Timer::Halls => {
+                    self.tell_halls();
+                    self.set_timer(now + HALLS_LOOK, Timer::Halls);
+                }
             }
         }
     }
@@ -251,7 +288,21 @@
             Input::Counted { name, end, total, took } => {
                 self.handle(Event::Counted { name, ending: end.ending(Peer::Counter), total, delay: took });
             }
-            Input::ServerTable(scope, entries) => self.handle(Event::Hosts { scope, entries }),
+            Input::ServerTable(scope, entries) => {
+                let now = self.clock.now();
+                if let Some(desk) = self.halls.as_mut() {
+                    desk.table(now, scope, &entries);
+                }
+                self.handle(Event::Hosts { scope, entries });
+                self.tell_halls();
+            }
+            Input::Halls(settings) => {
+                let now = self.clock.now();
+                if let Some(desk) = self.halls.take() {
+                    self.halls = Some(desk.renewed(*settings, now));
+                    self.tell_halls();
+                }
+            }
         }
     }
 
@@ -314,6 +365,9 @@
         if let Some(session) = self.sessions.get_mut(&id) {
             session.dispatches[number as usize] = None;
         }
+        if let Some(desk) = self.halls.as_mut() {
+            desk.ended(self.clock.now(), &node, end, took);
+        }
         if let (whinstall::Ending::Ok, Some(reply)) = (ending, reply) {
             self.answer(&id, Answer::Served(reply));
         }
@@ -329,6 +383,7 @@
             cost: 0.0,
             metered,
         });
+        self.tell_halls();
         self.forget_if_over(&id);
     }
 
@@ -411,6 +466,11 @@
             return;
         }
         let request = Rc::clone(&session.request);
+        if let Some(desk) = self.halls.as_mut() {
+            desk.sent(now);
+            let at = now + desk.silence();
+            self.set_timer(at, Timer::Silence(id.clone(), number, node.clone()));
+        }
         self.ports.dispatch(Dispatch { id, number, node, request, within, called_off });
     }
 }
--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -71,6 +71,30 @@
     }
 }
 
+impl ConnectionEnd {
+    /// What an ending after `took` tells of the node's hall: bytes came back, something refused at once, or
+    /// nothing at all for the `silence` span. What was called off, or never begun, tells nothing.
+    pub fn seen(
+        self,
+        took: std::time::Duration,
+        silence: std::time::Duration,
+    ) -> Option<whinstall::halls::Seen> {
+        use whinstall::halls::Seen;
+        match self {
+            ConnectionEnd::Answered
+            | ConnectionEnd::TurnedAway
+            | ConnectionEnd::Rejected
+            | ConnectionEnd::Declined
+            | ConnectionEnd::Garbled => Some(Seen::Answered),
+            ConnectionEnd::NeverWritten | ConnectionEnd::Broken if took < silence => Some(Seen::Refused),
+            ConnectionEnd::NeverWritten | ConnectionEnd::TimedOut { .. } if took >= silence => {
+                Some(Seen::Silent)
+            }
+            _ => None,
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -84,4 +108,19 @@
         assert!(!end.ending(Peer::Node).never_ran());
         assert_eq!(end.ending(Peer::Counter), Ending::Full);
     }
+
+    /// Guards against taking a slow answer or a quick refusal for a cut hall.
+    #[test]
+    fn only_long_silence_is_silence() {
+        use std::time::Duration;
+        use whinstall::halls::Seen;
+        let (short, long, silence) =
+            (Duration::from_millis(5), Duration::from_secs(1), Duration::from_millis(600));
+        assert_eq!(ConnectionEnd::Declined.seen(long, silence), Some(Seen::Answered));
+        assert_eq!(ConnectionEnd::NeverWritten.seen(short, silence), Some(Seen::Refused));
+        assert_eq!(ConnectionEnd::NeverWritten.seen(long, silence), Some(Seen::Silent));
+        assert_eq!(ConnectionEnd::TimedOut { written: true }.seen(short, silence), None);
+        assert_eq!(ConnectionEnd::TimedOut { written: false }.seen(long, silence), Some(Seen::Silent));
+        assert_eq!(ConnectionEnd::CalledOff { written: true }.seen(long, silence), None);
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod ending;
 pub mod exchange;
 pub mod frontend;
+pub mod halls;
 pub mod server_table;
 
 #[cfg(test)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! The shared helper of the socket tests: the gatekeeper as a process and scripted peers round it, all on
 //! loopback and ephemeral ports. Waiting is always for something that happens, with one bound for all of it.
+//! Each test file uses a part of it, so what one leaves unused is no dead code.
+#![allow(dead_code)]
 
 #[allow(dead_code)]
 mod peer;
@@ -18,8 +20,13 @@
 
 /// A node's line on discovery's list.
 pub fn node(uid: &str, address: SocketAddr, state: &str) -> String {
+    node_in(uid, address, state, "hall-a")
+}
+
+/// A node's line on discovery's list, in this hall.
+pub fn node_in(uid: &str, address: SocketAddr, state: &str, hall: &str) -> String {
     format!(
-        r#"{{"uid":"{uid}","endpoint":"{address}","az":"hall-a","model":"std","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"{hall}","model":"std","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
     )
 }
 
@@ -61,8 +68,19 @@
 
     /// Starts it with all of its surroundings.
     pub fn start(known: &str, discovery: SocketAddr, counter: SocketAddr, sockets: u32) -> Gatekeeper {
+        Gatekeeper::start_with(known, discovery, counter, sockets, &[])
+    }
+
+    /// Starts it with all of its surroundings and these words on its command line.
+    pub fn start_with(
+        known: &str,
+        discovery: SocketAddr,
+        counter: SocketAddr,
+        sockets: u32,
+        args: &[&str],
+    ) -> Gatekeeper {
         let path = Gatekeeper::file(&configuration(known, discovery, counter, sockets));
-        let mut child = Gatekeeper::run(&path);
+        let mut child = Gatekeeper::run(&path, args);
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
         let line = lines.by_ref().find(|l| l.contains("serving")).expect("it says where it serves");
         let address = line.split("listen=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
@@ -74,7 +92,29 @@
 
     /// Starts the program with this configuration.
     pub fn spawn(configuration: &str) -> Child {
-        Gatekeeper::run(&Gatekeeper::file(configuration))
+        Gatekeeper::run(&Gatekeeper::file(configuration), &[])
+    }
+
+    /// Starts the program with this configuration and these words on its command line.
+    pub fn spawn_with(configuration: &str, args: &[&str]) -> Child {
+        Gatekeeper::run(&Gatekeeper::file(configuration), args)
+    }
+
+    /// A file of this text beside the configurations, for settings of its own.
+    pub fn settings_file(text: &str) -> PathBuf {
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("settings-{}.cue", unique()));
+        std::fs::write(&path, text).expect("a file");
+        path
+    }
+
+    /// The next line of its log that has all these words.
+    pub fn logged(&self, words: &[&str]) -> String {
+        loop {
+            let line = self.log.recv_timeout(BOUND).expect("it logs");
+            if words.iter().all(|w| line.contains(w)) {
+                return line;
+            }
+        }
     }
 
     fn file(configuration: &str) -> PathBuf {
@@ -83,8 +123,9 @@
         path
     }
 
-    fn run(path: &Path) -> Child {
+    fn run(path: &Path, args: &[&str]) -> Child {
         Command::new(env!("CARGO_BIN_EXE_whinstall"))
+            .args(args)
             .env("ROUTER_CONFIG", path)
             .env_remove("RUST_LOG")
             .stderr(Stdio::piped())
@@ -141,6 +182,14 @@
         self
     }
 
+    /// Sends a preview for this customer, a number of 16 hex digits.
+    pub fn preview_for(&mut self, id: &str, customer: u32) -> &mut Self {
+        self.write(&format!(
+            "GET /preview/a%20b?client={customer:016x}&x=1 HTTP/1.1\r\n{}\r\n",
+            headers(id, "preview", "4")
+        ))
+    }
+
     /// Sends a preview: repeatable.
     pub fn preview(&mut self, id: &str) -> &mut Self {
         self.write(&format!(
