--- a/tests/halls.rs
+++ b/tests/halls.rs
@@ -457,3 +457,24 @@
     let served = fates.iter().filter(|f| f.status == "200").count();
     assert!(served * 10 >= fates.len() * 9, "{served} of {}", fates.len());
 }
+
+/// The gatekeeper's own hall is the one cut off: the other two halls are silent to it. Once both are lost it
+/// knows itself isolated and serves from its own hall alone, here slow enough that the module tried the others.
+#[test]
+fn a_gatekeeper_cut_off_with_its_own_hall_serves_from_it() {
+    let f = loaded(&HALLS.replace("hold: 1", "hold: 30"), 2);
+    f.modes[0].store(SLOW, Ordering::SeqCst);
+    f.modes[1].store(SILENT, Ordering::SeqCst);
+    f.modes[2].store(SILENT, Ordering::SeqCst);
+    let fates = f.drive(4.0, 20.0, |_, _| {});
+    assert!(fates.iter().all(|f| f.answers == 1), "exactly one answer each");
+    assert_eq!(f.issues_run_twice(), Vec::<String>::new());
+    let log = f.gatekeeper.log_so_far();
+    let isolated = log.iter().any(|l| l.contains("isolated=true"));
+    let late = f.seen(|id| id[1..].parse::<u32>().is_ok_and(|n| n >= 2 * 20));
+    eprintln!("isolated {isolated}; requests by hall from 2 s: {late:?}");
+    assert!(isolated, "both others tried and silent: {:?}", f.seen(|_| true));
+    assert!(late[1] + late[2] <= 4, "nothing more to the silent halls: {late:?}");
+    let served = fates.iter().filter(|f| f.status == "200").count();
+    assert!(served * 10 >= fates.len() * 8, "{served} of {}", fates.len());
+}
