--- a/example/toy.rs
+++ b/example/toy.rs
@@ -56,7 +56,12 @@
             r#"{{"uid":"s-{n}","endpoint":"{address}","az":"hall-a","model":"toy","pod_group":0,"state":"SERVING","capacity_hint":1.0,"boot_ms":0}}"#
         )
     });
-    match query(&request, "wait_ms").and_then(|ms| ms.parse().ok()) {
+    // A watch from before the one version there is gets the whole list at once, as a plain call does.
+    let after: Option<u64> = query(&request, "after").and_then(|rev| rev.parse().ok());
+    let wait = query(&request, "wait_ms")
+        .and_then(|ms| ms.parse().ok())
+        .filter(|_| after.is_none_or(|rev| rev >= 1));
+    match wait {
         // Nothing ever changes here.
         Some(ms) => {
             tokio::time::sleep(Duration::from_millis(ms)).await;
