--- a/tests/halls_measure.rs
+++ b/tests/halls_measure.rs
@@ -59,6 +59,7 @@
     service: f64,
     worst_10s: f64,
     peak_use_left: f64,
+    cut_use_left: f64,
     notice_s: f64,
     return_s: f64,
 }
@@ -125,6 +126,11 @@
     let peak_use_left =
         (0..SECONDS).map(|s| (books.busy[1][s].max(books.busy[2][s])) / capacity).fold(0.0, f64::max);
     let (cut_at, healed_at) = (CUT.0 as usize, CUT.1 as usize);
+    // Use of the busier hall left, on the mean over the cut once 2 s have passed.
+    let settled = cut_at + 2..healed_at;
+    let cut_use_left =
+        settled.clone().map(|s| books.busy[1][s].max(books.busy[2][s]) / capacity).sum::<f64>()
+            / settled.len() as f64;
     let before = books.new[0][..cut_at].iter().sum::<usize>() as f64 / cut_at as f64;
     // New requests to the cut hall in the seconds after the cut: those before the halls noticed.
     let notice_s = (cut_at..healed_at).take_while(|&s| books.new[0][s] as f64 > 0.1 * before).count() as f64;
@@ -136,6 +142,7 @@
         service: part(0, SECONDS),
         worst_10s: (0..=SECONDS - 10).map(|s| part(s, s + 10)).fold(1.0, f64::min),
         peak_use_left,
+        cut_use_left,
         notice_s,
         return_s,
     }
@@ -172,8 +179,8 @@
         {
             let f = run(variant, rate);
             println!(
-                "rate {rate:>5}  {name:<10} service {:.3}  worst 10 s {:.3}  peak use of halls left {:.2}  notice {} s  back {} s",
-                f.service, f.worst_10s, f.peak_use_left, f.notice_s, f.return_s
+                "rate {rate:>5}  {name:<10} service {:.3}  worst 10 s {:.3}  use of halls left: peak {:.2}, in the cut {:.2}  notice {} s  back {} s",
+                f.service, f.worst_10s, f.peak_use_left, f.cut_use_left, f.notice_s, f.return_s
             );
         }
     }
