Let a new version take over under load: listening socket, door, standby

Change: src/net/takeover.rs hands the listening socket and what the module knows (src/legacy.rs) from process to process over a Unix socket in TMPDIR, one accepting at a time; src/net/operator.rs answers status, standby and active on a thread of its own, with eight callers at most; the frontend stands open, on standby, draining or handed on, and closes quiet connections accordingly. Descriptors for a successor and the door are kept back. Ruled out: SO_REUSEPORT with two listeners (docs/operations.md).

All is off where no operator place is set.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -16,6 +16,12 @@
     }
 }
 
+impl std::borrow::Borrow<str> for CustomerId {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 /// A customer, whose quota all gateways share.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CustomerId(pub Arc<str>);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod config;
 pub mod halls;
 mod interface;
+mod legacy;
 pub mod operators;
 pub mod quota;
 mod rules;
@@ -94,4 +95,5 @@
 mod state;
 
 pub use interface::*;
+pub use legacy::{CustomerLegacy, HostLegacy, Legacy};
 pub use state::Gateway;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,15 +5,18 @@
 mod net;
 
 use net::core::{Clock, Core, Input};
+use net::frontend::Stance;
 use net::server_table::{List, ServerTable};
-use net::{counter, dispatch, exchange, frontend, server_table, Platform};
+use net::{counter, dispatch, exchange, frontend, operator, server_table, takeover, Platform};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use whinstall::halls::HallSettings;
@@ -29,6 +32,8 @@
 const DRAIN_LEAST: Duration = Duration::from_millis(750);
 /// While draining, this often it is looked whether all answers are written out.
 const DRAIN_LOOK: Duration = Duration::from_millis(5);
+/// Discovery tells a new process within this what it has to tell.
+const HEARD_WITHIN: Duration = Duration::from_millis(700);
 /// Connections to nodes are closed so much before the nodes close them.
 const IDLE_MARGIN: Duration = Duration::from_secs(3);
 
@@ -38,6 +43,8 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     counter: Option<SocketAddr>,
+    /// Where operators ask. With it processes of this gatekeeper can follow each other, too.
+    operator: Option<SocketAddr>,
     seed: String,
     limits: Limits,
     known: List,
@@ -75,6 +82,13 @@
     }
 }
 
+/// Where operators ask: by the configuration, else by the environment.
+fn operator_place(c: &Configuration) -> Result<Option<SocketAddr>, String> {
+    let told = std::env::var("ROUTER_OPERATOR").ok().filter(|at| !at.is_empty());
+    let told = told.map(|at| at.parse().map_err(|e| format!("ROUTER_OPERATOR: {at}: {e}"))).transpose()?;
+    Ok(c.operator.or(told))
+}
+
 type Told = (Configuration, Settings, settings::SocketSettings);
 
 fn configuration(path: &str) -> Result<Told, String> {
@@ -145,8 +159,16 @@
 ) -> Result<(), String> {
     let fixed = c.fixed();
     let seed = u64::from_str_radix(&c.seed, 16).map_err(|e| format!("seed: {e}"))?;
-    let listener = tokio::net::TcpListener::bind(c.listen).await;
+    let door = operator_place(&c)?;
+    // Processes follow each other only where operators run them so: anywhere else no such socket is made.
+    let place = door.and_then(|_| takeover::place(&c.name));
+    let (predecessor, listener) = match place.as_deref().and_then(takeover::ask) {
+        Some((predecessor, listener)) => (Some(predecessor), Ok(listener)),
+        None => (None, takeover::listen(c.listen, door.is_some())),
+    };
     let listener = listener.map_err(|e| format!("{}: {e}", c.listen))?;
+    let offered = listener.try_clone().map_err(|e| format!("{}: {e}", c.listen))?;
+    let listener = tokio::net::TcpListener::from_std(listener).map_err(|e| format!("{}: {e}", c.listen))?;
     let listen = listener.local_addr().map_err(|e| format!("{}: {e}", c.listen))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
@@ -158,7 +180,9 @@
     let (_, entries) = table.apply(c.known);
     let _ = queue.send(Input::ServerTable(ListScope::Restored, entries));
 
-    let budget = Budget::of(c.limits.sockets);
+    let kept = if door.is_some() { operator::DESCRIPTORS + takeover::DESCRIPTORS } else { 0 };
+    let whole = c.limits.sockets.saturating_sub(kept).max(LEAST_DESCRIPTORS);
+    let budget = Budget::of(whole);
     let idle = sockets.conn_idle.saturating_sub(IDLE_MARGIN).max(sockets.conn_idle / 2);
     let nodes = Rc::new(exchange::Exchanger::new(sockets.dial_timeout, idle, budget.nodes));
     let counter_at = c.counter.unwrap_or(c.discovery);
@@ -174,7 +198,7 @@
     actix_rt::spawn(reload(hangup, path, fixed, counter.clone(), discovery, (halls_file, queue.clone())));
     let platform = Platform {
         dispatcher: dispatch::Dispatcher::new(Rc::clone(&nodes), Rc::clone(&table), queue.clone()),
-        counter,
+        counter: counter.clone(),
     };
     let terms = frontend::Terms::of(&s);
     let frontend = frontend::Frontend::new(
@@ -184,14 +208,13 @@
         budget.clients,
         sockets.max_retry_after,
     );
-    actix_rt::spawn(Rc::clone(&frontend).serve(listener));
     let dial = sockets.dial_timeout;
     actix_rt::spawn(server_table::watch(
         discovery_at,
         dial,
         (known, s.replicas, seed),
-        table,
-        nodes,
+        Rc::clone(&table),
+        Rc::clone(&nodes),
         queue.clone(),
     ));
 
@@ -207,21 +230,150 @@
     let mut core = actix_rt::spawn(core.run(inputs));
     tracing::info!(name = c.name, %listen, "serving");
 
-    tokio::select! {
-        _ = terminate.recv() => tracing::info!("SIGTERM: draining"),
-        _ = interrupt.recv() => tracing::info!("SIGINT: draining"),
-        // Guards against a gatekeeper that takes requests with nobody left to decide on them.
-        _ = &mut core => return Err("the core has ended".into()),
+    let desk = Desk { frontend, nodes, counter, queue, whole };
+    let told = Arc::new(operator::Known::default());
+    let (orders, mut ordered) = tokio::sync::mpsc::unbounded_channel();
+    if let Some(at) = door {
+        let at = operator::open(at, Arc::clone(&told), orders.clone());
+        tracing::info!(operator = %at.map_err(|e| format!("operator: {e}"))?, "the operators' door is open");
+        actix_rt::spawn(watch_can_serve(Rc::clone(&table), Arc::clone(&told)));
     }
-    frontend.drain();
-    tokio::time::sleep(DRAIN_LEAST).await;
-    while frontend.busy() {
-        tokio::time::sleep(DRAIN_LOOK).await;
+    let successor = takeover::Successor::default();
+    let begin = desk.clone().begin(listener, predecessor, Arc::clone(&told));
+    let offer = place.map(|place| takeover::offer(place, offered.into(), successor.clone()));
+    actix_rt::spawn(async move {
+        begin.await;
+        if let Some(offer) = offer {
+            offer.await;
+        }
+    });
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break tracing::info!("SIGTERM: draining"),
+            _ = interrupt.recv() => break tracing::info!("SIGINT: draining"),
+            // Guards against a gatekeeper that takes requests with nobody left to decide on them.
+            _ = &mut core => return Err("the core has ended".into()),
+            Some(order) = ordered.recv() => {
+                tracing::info!(?order, "operators' order");
+                desk.frontend.stand(match order {
+                    operator::Order::Standby => Stance::Standby(Instant::now()),
+                    operator::Order::Active => Stance::Open,
+                });
+            }
+        }
+    }
+    if successor.waits() && desk.hand_on(&successor).await {
+        desk.empty().await;
+    } else {
+        desk.drain().await;
     }
     tracing::info!("drained");
     Ok(())
 }
 
+/// Notes for the operators' door when this process can serve: it knows nodes that take work, and has heard of
+/// discovery or waited long enough for it, which says nothing where nothing has changed.
+async fn watch_can_serve(table: Rc<ServerTable>, told: Arc<operator::Known>) {
+    let begun = Instant::now();
+    while !(table.can_serve() && (table.told() || begun.elapsed() > HEARD_WITHIN)) {
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+    told.can_serve.store(true, Ordering::Relaxed);
+}
+
+/// What begins and ends a process's service.
+#[derive(Clone)]
+struct Desk {
+    frontend: Rc<frontend::Frontend>,
+    nodes: Rc<exchange::Exchanger>,
+    counter: counter::Counter,
+    queue: net::Inputs,
+    /// Descriptors for clients, nodes and the counter, with what is kept for the process itself.
+    whole: usize,
+}
+
+impl Desk {
+    fn hold(&self, sockets: usize) {
+        let budget = Budget::of(sockets.max(LEAST_DESCRIPTORS));
+        self.frontend.hold(budget.clients);
+        self.nodes.hold(budget.nodes);
+        self.counter.connections().hold(budget.counter);
+    }
+
+    /// Descriptors held for clients, nodes and the counter.
+    fn held(&self) -> usize {
+        self.frontend.open() + self.nodes.open() + self.counter.connections().open()
+    }
+
+    /// Takes clients, once the process that serves, if any, has handed on or ended.
+    async fn begin(
+        self,
+        listener: tokio::net::TcpListener,
+        predecessor: Option<takeover::Predecessor>,
+        told: Arc<operator::Known>,
+    ) {
+        let Some(mut predecessor) = predecessor else {
+            actix_rt::spawn(Rc::clone(&self.frontend).serve(listener));
+            return;
+        };
+        tracing::info!("waiting for the serving process to hand on");
+        let handed = predecessor.handed().await;
+        match handed {
+            Some(handed) => {
+                let customers = handed.legacy.customers.len();
+                tracing::info!(customers, descriptors = handed.descriptors, "taking over");
+                self.hold(self.whole.saturating_sub(handed.descriptors));
+                let _ = self.queue.send(Input::Inherit(Box::new(handed.legacy)));
+                if handed.standby && !told.standby.swap(true, Ordering::Relaxed) {
+                    self.frontend.stand(Stance::Standby(Instant::now()));
+                }
+            }
+            None => tracing::warn!("the serving process ended without handing on: taking over"),
+        }
+        actix_rt::spawn(Rc::clone(&self.frontend).serve(listener));
+        // Nobody holds it up: when the old process has ended, all descriptors are this one's.
+        actix_rt::spawn(async move {
+            predecessor.relieve().await;
+            tracing::info!("the old process has ended");
+            self.hold(self.whole);
+        });
+    }
+
+    /// Hands on to the successor. Does it accept from now on?
+    async fn hand_on(&self, successor: &takeover::Successor) -> bool {
+        let standby = matches!(self.frontend.stance(), Stance::Standby(_));
+        self.frontend.stand(Stance::HandedOn(Instant::now()));
+        self.nodes.close_unless(|_, _| false);
+        let (to, legacy) = tokio::sync::oneshot::channel();
+        let _ = self.queue.send(Input::Bequeath(to));
+        let Ok(legacy) = legacy.await else { return false };
+        let handed = takeover::Handed { legacy, standby, descriptors: self.held() };
+        let taken = successor.hand_on(&handed).await;
+        tracing::info!(taken, customers = handed.legacy.customers.len(), "handed on to the new process");
+        if !taken {
+            let _ = self.queue.send(Input::Resume(Box::new(handed.legacy)));
+        }
+        taken
+    }
+
+    /// Serves what this process took, until nothing is left of it.
+    async fn empty(&self) {
+        while self.frontend.open() > 0 {
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+    }
+
+    /// Serves what this process took and what comes in the first moment.
+    async fn drain(&self) {
+        self.frontend.stand(Stance::Draining);
+        tokio::time::sleep(DRAIN_LEAST).await;
+        while self.frontend.busy() || self.frontend.reading() {
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+    }
+}
+
 /// The command line. Without a subcommand the gatekeeper serves, as the platform starts it.
 #[derive(clap::Parser)]
 #[command(name = "whinstall", version, about = "A quota gatekeeper before a fleet of drafting nodes")]
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -10,7 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{mpsc, oneshot};
-use whinstall::{Action, CountName, CustomerId, Event, Gateway, HostEntry, HostId, ListScope, RequestId};
+use whinstall::{
+    Action, CountName, CustomerId, Event, Gateway, HostEntry, HostId, Legacy, ListScope, RequestId,
+};
 
 /// A session is ended by the core itself so long after its client gave up, should nothing else have ended it.
 const OVERDUE: Duration = Duration::from_millis(5);
@@ -162,6 +164,12 @@
     ServerTable(ListScope, Vec<HostEntry>),
     /// Settings of halls read again: they replace those in force, if any.
     Halls(Box<whinstall::halls::HallSettings>),
+    /// Another process takes over: what the module knows is handed on.
+    Bequeath(oneshot::Sender<Legacy>),
+    /// The other process did not take over after all.
+    Resume(Box<Legacy>),
+    /// This process takes over from another that knew this.
+    Inherit(Box<Legacy>),
 }
 
 /// The way into the queue.
@@ -323,6 +331,11 @@
                 self.handle(Event::Hosts { scope, entries });
                 self.tell_halls();
             }
+            Input::Bequeath(to) => {
+                let _ = to.send(self.gateway.bequeath());
+            }
+            Input::Resume(legacy) => self.gateway.resume(&legacy),
+            Input::Inherit(legacy) => self.gateway.inherit(*legacy),
             Input::Halls(settings) => {
                 let now = self.clock.now();
                 if let Some(desk) = self.halls.take() {
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -65,6 +65,11 @@
         self.0.exchanger.close_unless(|_, leads_to| leads_to == address);
     }
 
+    /// The connections to it.
+    pub fn connections(&self) -> &Exchanger {
+        &self.0.exchanger
+    }
+
     /// Begins a call, or lines it up behind the last one of its name.
     pub fn call(&self, call: CounterCall) {
         let now = Instant::now();
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -120,7 +120,7 @@
 struct Pool {
     idle: RefCell<HashMap<Arc<str>, Vec<Idle>>>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
 }
 
 impl Pool {
@@ -158,7 +158,7 @@
     /// Makes room for one more connection, if need be by closing the one that stood idle longest. Closing all
     /// idle ones cost a handshake each soon after.
     fn make_room(&self) -> Option<Open> {
-        if self.open.get() >= self.most {
+        if self.open.get() >= self.most.get() {
             let mut idle = self.idle.borrow_mut();
             let oldest = idle.iter().filter_map(|(name, w)| Some((w.first()?.since, name))).min();
             if let Some(name) = oldest.map(|(_, name)| Arc::clone(name)) {
@@ -166,7 +166,7 @@
                 idle.retain(|_, waiting| !waiting.is_empty());
             }
         }
-        (self.open.get() < self.most).then(|| Open::new(&self.open))
+        (self.open.get() < self.most.get()).then(|| Open::new(&self.open))
     }
 }
 
@@ -187,12 +187,22 @@
 impl Exchanger {
     /// A client that connects within `dial`, keeps connections while idle for `idle` and holds `most`.
     pub fn new(dial: Duration, idle: Duration, most: usize) -> Self {
-        let pool = Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most });
+        let pool = Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most: Cell::new(most) });
         actix_rt::spawn(prune(Rc::downgrade(&pool), idle));
         let config = ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build();
         Exchanger { pool, dial, config }
     }
 
+    /// Holds so many connections from now on.
+    pub fn hold(&self, most: usize) {
+        self.pool.most.set(most);
+    }
+
+    /// Connections that are open or coming up.
+    pub fn open(&self) -> usize {
+        self.pool.open.get()
+    }
+
     /// Closes the idle connections that lead anywhere else than `leads_on` permits.
     pub fn close_unless(&self, leads_on: impl Fn(&str, SocketAddr) -> bool) {
         self.pool.retain(|name, idle| leads_on(name, idle.address));
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -19,13 +19,14 @@
 use bytes::{Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, Notify};
-use tokio::time::{timeout, timeout_at};
+use tokio::sync::{oneshot, watch, Notify};
+use tokio::time::{sleep_until, timeout};
 use whinstall::{CustomerId, Idempotency, RequestId, Settings};
 
 /// `Request-Timeout` runs from the client's send: this much of it has passed when a request is read, and the
@@ -47,6 +48,8 @@
 const LINGER_MOST: usize = 4 * BODY_MOST;
 /// Customers' numbers are below this.
 const CUSTOMERS: u64 = 1 << 33;
+/// On standby a connection that said nothing for so long is closed: those in use have their answers close them.
+const QUIET: Duration = Duration::from_millis(1000);
 /// Where none of its connections can be closed, so many beyond the budget are taken, to be denied.
 const CROWD: usize = 8;
 /// What was closed for want of room is told this often at most.
@@ -95,19 +98,33 @@
     }
 }
 
+/// How this gatekeeper stands towards its clients.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stance {
+    /// It takes them.
+    Open,
+    /// Told to be without clients: `/ready` says no, what comes is served, answers close their connections, and
+    /// quiet ones are closed.
+    Standby(Instant),
+    /// SIGTERM: the same, but quiet connections stay, as their clients may have nowhere else to go yet.
+    Draining,
+    /// Another process accepts at its address: quiet connections are closed at once, and nothing is accepted.
+    HandedOn(Instant),
+}
+
 /// What all connections share.
 pub struct Frontend {
     queue: Inputs,
     table: Rc<ServerTable>,
-    terms: Terms,
-    most: usize,
-    max_retry_after: Duration,
+    terms: RefCell<Rc<Terms>>,
+    most: Cell<usize>,
+    max_retry_after: Cell<Duration>,
     config: ServiceConfig,
     connections: RefCell<HashMap<u64, Rc<Connection>>>,
     /// Connections taken so far.
     taken: Cell<u64>,
     freed: Notify,
-    draining: Cell<bool>,
+    stance: watch::Sender<Stance>,
     busy: Cell<usize>,
     /// Connections closed for want of room that are not told of yet, and when that was last told.
     unseated: Cell<(usize, Option<Instant>)>,
@@ -119,6 +136,8 @@
     asked: Cell<bool>,
     /// Is a request on it that was taken and whose answer is not written out?
     busy: Cell<bool>,
+    /// Has a part of a request come on it, and no answer to it?
+    begun: Cell<bool>,
     /// Since when it has been without one.
     since: Cell<Instant>,
     /// Its place is needed.
@@ -178,22 +197,57 @@
         Rc::new(Frontend {
             queue,
             table,
-            terms,
-            most,
-            max_retry_after,
+            terms: RefCell::new(Rc::new(terms)),
+            most: Cell::new(most),
+            max_retry_after: Cell::new(max_retry_after),
             config: ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build(),
             connections: RefCell::default(),
             taken: Cell::new(0),
             freed: Notify::new(),
-            draining: Cell::new(false),
+            stance: watch::Sender::new(Stance::Open),
             busy: Cell::new(0),
             unseated: Cell::default(),
         })
     }
 
-    /// From now on answers close their connections.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// Stands so from now on. What was handed on or drains stays so.
+    pub fn stand(&self, stance: Stance) {
+        self.stance.send_if_modified(|now| {
+            let ends = matches!(now, Stance::Draining | Stance::HandedOn(_));
+            let ends = ends && matches!(stance, Stance::Open | Stance::Standby(_));
+            // Told twice, the first time counts.
+            let same = std::mem::discriminant(now) == std::mem::discriminant(&stance);
+            let differs = !ends && !same;
+            if differs {
+                *now = stance;
+            }
+            differs
+        });
+    }
+
+    /// How it stands.
+    pub fn stance(&self) -> Stance {
+        *self.stance.borrow()
+    }
+
+    /// Do answers close their connections?
+    fn closing(&self) -> bool {
+        self.stance() != Stance::Open
+    }
+
+    /// Holds so many connections from now on.
+    pub fn hold(&self, most: usize) {
+        self.most.set(most);
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Is a part of a request here whose rest is still to come?
+    pub fn reading(&self) -> bool {
+        self.connections.borrow().values().any(|c| c.begun.get())
     }
 
     /// Is any session under way, or an answer not yet written out? A request of which a part is still to come
@@ -202,20 +256,32 @@
         self.busy.get() > 0
     }
 
-    /// Takes connections for as long as the program runs.
+    /// Takes connections for as long as the program runs, but for those that come while another process accepts.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let mut stance = self.stance.subscribe();
         loop {
-            while self.connections.borrow().len() >= self.most + CROWD {
+            while self.connections.borrow().len() >= self.most.get() + CROWD {
                 self.freed.notified().await;
             }
-            match listener.accept().await {
+            let handed_on = |s: &Stance| matches!(s, Stance::HandedOn(_));
+            let accepted = tokio::select! {
+                biased;
+                _ = stance.wait_for(handed_on) => None,
+                accepted = listener.accept() => Some(accepted),
+            };
+            let Some(accepted) = accepted else {
+                // Never closed by this process before it ends: what waits there is the other's to take.
+                let _ = stance.wait_for(|s| !handed_on(s)).await;
+                continue;
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
                     // Clients count what they keep open, and have only so many connections: those that stand
                     // idle are closed well before there is no room for others.
                     let open = self.connections.borrow().len();
-                    if open >= self.most / 2 {
-                        self.unseat(open >= self.most);
+                    if open >= self.most.get() / 2 {
+                        self.unseat(open >= self.most.get());
                     }
                     actix_rt::spawn(self.seat().converse(stream));
                     // What it says is heard before the next one is taken: so a request is seen before its
@@ -236,6 +302,7 @@
         let connection = Rc::new(Connection {
             asked: Cell::new(false),
             busy: Cell::new(false),
+            begun: Cell::new(false),
             since: Cell::new(Instant::now()),
             unseat: Notify::new(),
         });
@@ -277,11 +344,11 @@
         client: &mut Client,
     ) -> Result<(Whole, bool), Gone> {
         if request.path() == "/ready" {
-            let ready = self.table.can_serve() && !self.draining.get();
+            let ready = self.table.can_serve() && !self.closing();
             return Ok((plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }), true));
         }
-        if self.connections.borrow().len() > self.most {
-            return Ok((self.denied(Some(self.max_retry_after)), false));
+        if self.connections.borrow().len() > self.most.get() {
+            return Ok((self.denied(Some(self.max_retry_after.get())), false));
         }
         let (reply, mut answer) = oneshot::channel();
         let session = match self.read(request, body, reply) {
@@ -307,7 +374,7 @@
                 Answer::Failed => plain(StatusCode::BAD_GATEWAY),
                 Answer::Doubled => plain(StatusCode::CONFLICT),
             },
-            !self.draining.get(),
+            true,
         ))
     }
 
@@ -326,7 +393,7 @@
         body: Bytes,
         reply: oneshot::Sender<Answer<Bytes>>,
     ) -> Result<NewSession<Platform>, Rejected> {
-        let arrived = Instant::now();
+        let (arrived, terms) = (Instant::now(), Rc::clone(&self.terms.borrow()));
         if !matches!(*request.method(), Method::GET | Method::POST) {
             return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "GET or POST only"));
         }
@@ -334,7 +401,7 @@
         let text = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).map(str::trim);
         let word = id.to_str().ok().filter(|id| !id.is_empty()).ok_or(bad("no usable Request-Id"))?;
         let class = text("request-class").ok_or(bad("no Request-Class"))?;
-        let repeatable = *self.terms.classes.get(class).ok_or(bad("no such Request-Class"))?;
+        let repeatable = *terms.classes.get(class).ok_or(bad("no such Request-Class"))?;
         if request.path().split('/').nth(1) != Some(class) {
             return Err(bad("a path of another class"));
         }
@@ -342,14 +409,14 @@
             return Err(bad("GET without a body for what may be repeated, POST for all else"));
         }
         let plan = text("x-contract").ok_or(bad("no X-Contract"))?;
-        if !self.terms.plans.iter().any(|p| p == plan) {
+        if !terms.plans.iter().any(|p| p == plan) {
             return Err(bad("no such X-Contract"));
         }
         let seconds = text("request-timeout").and_then(|t| t.parse::<f64>().ok());
         let timeout = seconds.filter(|s| *s >= 0.0).and_then(|s| Duration::try_from_secs_f64(s).ok());
         // Guards against a figure that no clock can add.
         let timeout = timeout.ok_or(bad("no usable Request-Timeout"))?.min(TIMEOUT_MOST);
-        let metering = text("x-metering").and_then(|t| self.terms.metering(t));
+        let metering = text("x-metering").and_then(|t| terms.metering(t));
         let (units, width) = metering.ok_or(bad("no usable X-Metering"))?;
         let customer = request.uri().query().and_then(customer).ok_or(bad("no usable client"))?;
         let target = request.uri().path_and_query().cloned().ok_or(bad("no path"))?;
@@ -378,7 +445,8 @@
     /// Serves a connection for as long as it lasts, or until its place is needed.
     async fn converse(self, stream: TcpStream) {
         let codec = Codec::new(self.frontend.config.clone());
-        let mut client = Client { stream, codec, read: BytesMut::with_capacity(2048) };
+        let stance = self.frontend.stance.subscribe();
+        let mut client = Client { stream, codec, stance, read: BytesMut::with_capacity(2048) };
         tokio::select! {
             biased;
             _ = self.exchanges(&mut client) => {}
@@ -389,16 +457,20 @@
     /// One request after the other: what comes ahead of an answer waits for it.
     async fn exchanges(&self, client: &mut Client) -> Result<(), Gone> {
         loop {
-            let (request, rejected) = client.request(self.connection.since.get() + IDLE).await?;
+            let connection = &self.connection;
+            client.first(connection.since.get(), connection.asked.get()).await?;
+            connection.begun.set(true);
+            let (request, rejected) = client.request().await?;
             let ((mut response, body), live_on) = match (request, rejected) {
                 (Some((request, body)), None) => self.frontend.answer(self, &request, body, client).await?,
                 (_, rejected) => (rejected.unwrap_or(bad("unreadable")).answer(), false),
             };
-            if !live_on || self.frontend.draining.get() {
+            if !live_on || self.frontend.closing() {
                 response.force_close();
             }
             let sent = timeout(TAKEN_WITHIN, client.write(response, body)).await;
-            self.connection.asked.set(live_on);
+            connection.asked.set(live_on);
+            connection.begun.set(false);
             self.set_busy(false);
             sent.map_err(|_| Gone)??;
             if !client.codec.keep_alive() {
@@ -413,17 +485,48 @@
 struct Client {
     stream: TcpStream,
     codec: Codec,
+    /// How the gatekeeper stands.
+    stance: watch::Receiver<Stance>,
     /// What was read and is not used yet.
     read: BytesMut,
 }
 
 impl Client {
-    /// The next request with its body, or what is wrong with it. Nothing is said to who says nothing.
-    async fn request(&mut self, idle: Instant) -> Result<(Option<(Request, Bytes)>, Option<Rejected>), Gone> {
-        if self.read.is_empty() {
-            let first = timeout_at(idle.into(), self.stream.read_buf(&mut self.read)).await;
-            first.map_err(|_| Gone)?.ok().filter(|n| *n > 0).ok_or(Gone)?;
+    /// Waits for the first byte of a request on a connection that has been quiet since then, and had one answered
+    /// before (`asked`) or not. Nothing is said to who says nothing, and where the gatekeeper wants to be without
+    /// clients, it is not waited for as long.
+    async fn first(&mut self, since: Instant, asked: bool) -> Result<(), Gone> {
+        while self.read.is_empty() {
+            let end = match *self.stance.borrow_and_update() {
+                Stance::Open | Stance::Draining => since + IDLE,
+                Stance::Standby(at) => since.max(at) + QUIET,
+                Stance::HandedOn(at) if asked => at,
+                // It has just come and may be about to ask.
+                Stance::HandedOn(at) => at.max(since + JUST_COME),
+            };
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.read) => {
+                    read.ok().filter(|n| *n > 0).ok_or(Gone)?;
+                }
+                Ok(()) = self.stance.changed() => {}
+                () = sleep_until(end.into()) => {
+                    // The system itself is asked: the runtime may not have heard yet of what has just come, and
+                    // a connection closed over it costs its client the request.
+                    let peeked = socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+                    let quiet = peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+                    if quiet || end + IDLE < Instant::now() {
+                        return Err(Gone);
+                    }
+                    tokio::task::yield_now().await;
+                }
+            }
         }
+        Ok(())
+    }
+
+    /// The next request with its body, or what is wrong with it.
+    async fn request(&mut self) -> Result<(Option<(Request, Bytes)>, Option<Rejected>), Gone> {
         // From its first byte on a request has its own time.
         let whole = timeout(IDLE, self.rest()).await;
         match whole.unwrap_or(Err(Some(Rejected(StatusCode::REQUEST_TIMEOUT, "not whole in time")))) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,8 +8,10 @@
 pub mod exchange;
 pub mod frontend;
 pub mod halls;
+pub mod operator;
 pub mod report;
 pub mod server_table;
+pub mod takeover;
 
 #[cfg(test)]
 #[path = "../../tests/common/peer.rs"]
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -9,7 +9,7 @@
 use actix_http::uri::PathAndQuery;
 use actix_http::Method;
 use serde::Deserialize;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -75,7 +75,7 @@
 
 /// Where the nodes are and which of them take work.
 #[derive(Default)]
-pub struct ServerTable(RefCell<HashMap<HostId, Node>>);
+pub struct ServerTable(RefCell<HashMap<HostId, Node>>, Cell<bool>);
 
 impl List {
     /// Its version.
@@ -100,6 +100,11 @@
         self.0.borrow().get(node).is_some_and(|n| n.takes_work)
     }
 
+    /// Has discovery told anything since the start?
+    pub fn told(&self) -> bool {
+        self.1.get()
+    }
+
     /// Is there any node that takes work?
     pub fn can_serve(&self) -> bool {
         self.0.borrow().values().any(|n| n.takes_work)
@@ -240,6 +245,7 @@
                 if !std::mem::replace(&mut healthy, true) {
                     tracing::info!(rev = list.rev, "discovery answers again");
                 }
+                table.1.set(true);
                 if !cadence.told(&list) {
                     tracing::warn!(rev = list.rev, "discovery counts anew: the whole list is asked for");
                     continue;
--- a/src/quota/share.rs
+++ b/src/quota/share.rs
@@ -27,6 +27,7 @@
 
 /// One customer's estimates at one gatekeeper.
 #[derive(Clone, Debug, PartialEq)]
+#[cfg_attr(feature = "adapter", derive(serde::Serialize, serde::Deserialize), serde(default))]
 pub struct Share {
     /// Units spent through this gatekeeper in windows whose totals were known, the old ones fading.
     mine: f64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -382,7 +382,7 @@
         let fill = plan.ceiling_rate / c.width * (now - c.ceiling_at);
         c.ceiling = (c.ceiling + fill).min(plan.ceiling_burst / c.width);
         c.ceiling_at = now;
-        let fits = c.ceiling - units >= bottom + 1e-6;
+        let fits = c.ceiling - units >= bottom + 1e-6 && !self.bequeathed;
         c.ceiling -= if fits && take { units } else { 0.0 };
         fits
     }
@@ -1016,7 +1016,7 @@
     }
 
     /// Queues a customer for when its next call is due, or for when the pace should have room.
-    fn schedule(&mut self, id: &CustomerId) {
+    pub(crate) fn schedule(&mut self, id: &CustomerId) {
         let again = self.now + TICK.max(1.0 / self.pace.max(0.1));
         let Some(c) = self.customers.get_mut(id) else { return };
         let next = c.sync_at.min(c.open_at);
--- a/src/state.rs
+++ b/src/state.rs
@@ -299,6 +299,8 @@
     pub(crate) out: u32,
     /// Further attempts saved up.
     pub(crate) retries: f64,
+    /// Has another process of this gateway taken over? Hard ceilings are that one's to spend then.
+    pub(crate) bequeathed: bool,
 }
 
 impl Gateway {
@@ -346,6 +348,7 @@
             queue: Default::default(),
             out: Default::default(),
             retries: Default::default(),
+            bequeathed: false,
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -88,10 +88,15 @@
 
     /// Starts it with this configuration and these words on its command line.
     pub fn start_configured(configuration: &str, args: &[&str]) -> Gatekeeper {
+        Gatekeeper::start_in(&directory(), configuration, args)
+    }
+
+    /// Starts it with this `$TMPDIR`, this configuration and these words on its command line.
+    pub fn start_in(directory: &Path, configuration: &str, args: &[&str]) -> Gatekeeper {
         let path = Gatekeeper::file(configuration);
-        let mut child = Gatekeeper::run(&path, args);
+        let mut child = Gatekeeper::run(directory, &path, args);
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
-        let line = lines.by_ref().find(|l| l.contains("serving")).expect("it says where it serves");
+        let line = lines.by_ref().find(|l| l.contains("serving name=")).expect("it says where it serves");
         let address = line.split("listen=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
         // Its log is read to the end: a full pipe would hold it up.
         let (tell, log) = channel();
@@ -101,12 +106,12 @@
 
     /// Starts the program with this configuration.
     pub fn spawn(configuration: &str) -> Child {
-        Gatekeeper::run(&Gatekeeper::file(configuration), &[])
+        Gatekeeper::run(&directory(), &Gatekeeper::file(configuration), &[])
     }
 
     /// Starts the program with this configuration and these words on its command line.
     pub fn spawn_with(configuration: &str, args: &[&str]) -> Child {
-        Gatekeeper::run(&Gatekeeper::file(configuration), args)
+        Gatekeeper::run(&directory(), &Gatekeeper::file(configuration), args)
     }
 
     /// A file of this text beside the configurations, for settings of its own.
@@ -137,11 +142,14 @@
         path
     }
 
-    fn run(path: &Path, args: &[&str]) -> Child {
+    fn run(directory: &Path, path: &Path, args: &[&str]) -> Child {
         Command::new(env!("CARGO_BIN_EXE_whinstall"))
             .args(args)
             .env("ROUTER_CONFIG", path)
+            .env("TMPDIR", directory)
+            .env_remove("ROUTER_OPERATOR")
             .env_remove("RUST_LOG")
+            .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the gatekeeper starts")
@@ -164,7 +172,8 @@
         self.signal("TERM");
     }
 
-    fn signal(&self, name: &str) {
+    /// Ends, stops or wakes it.
+    pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().expect("kill runs").success());
     }
@@ -181,6 +190,14 @@
     }
 }
 
+/// An empty directory of its own.
+pub fn directory() -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("d{}-{}", std::process::id(), unique()));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).expect("a directory");
+    path
+}
+
 fn unique() -> usize {
     static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
     NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed)
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,287 @@
+//! What operations staff do with a gatekeeper in service: the door, standby, retuning, a new version under load.
+//! Processes of the program, real signals and real sockets.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const READY: &str = "GET /ready HTTP/1.1\r\nHost: api.internal\r\n\r\n";
+
+/// A gatekeeper with a door.
+struct Operated {
+    gatekeeper: Gatekeeper,
+    door: SocketAddr,
+}
+
+/// Its configuration: an upgrade repeats it word for word but for the door's port.
+fn operated(nodes: &[&Peer], counter: &Peer) -> String {
+    let lines: Vec<_> =
+        nodes.iter().enumerate().map(|(n, p)| node(&format!("n{n}"), p.address, "SERVING")).collect();
+    let whole = list(1, true, &lines);
+    let discovery = settled_discovery(whole.clone());
+    let told = configuration(&whole, discovery.address, counter.address, 384);
+    told.replacen('{', "{\"operator\":\"127.0.0.1:0\",", 1)
+}
+
+impl Operated {
+    fn start(directory: &Path, configuration: &str) -> Operated {
+        let gatekeeper = Gatekeeper::start_in(directory, configuration, &[]);
+        let line = gatekeeper.logged(&["door is open"]);
+        let door = line.split("operator=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
+        Operated { gatekeeper, door }
+    }
+
+    fn call(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.door).expect("the door is open");
+        stream.set_read_timeout(Some(BOUND)).expect("a bound");
+        stream.write_all(format!("{line}\n").as_bytes()).expect("it takes it");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    fn until(&self, line: &str, answer: &str) {
+        let begun = Instant::now();
+        while !self.call(line).starts_with(answer) {
+            assert!(begun.elapsed() < BOUND, "{line} is never answered with {answer}");
+        }
+    }
+
+    fn ready(&self) -> bool {
+        self.gatekeeper.connect().write(READY).answer().start.contains("200")
+    }
+}
+
+/// Clients that ask without pause, each request on a new connection; returns how many were answered, and the first
+/// that was not.
+fn crowd(at: SocketAddr, stop: &Arc<AtomicBool>) -> Vec<std::thread::JoinHandle<Result<usize, String>>> {
+    let client = |who: usize| {
+        let stop = Arc::clone(stop);
+        move || {
+            let mut answered = 0;
+            while !stop.load(Ordering::Relaxed) {
+                let stream = TcpStream::connect(at).map_err(|e| format!("connect: {e}"))?;
+                stream.set_read_timeout(Some(BOUND)).map_err(|e| e.to_string())?;
+                let head = headers(&format!("c{who}-{answered}"), "preview", "4");
+                let text =
+                    format!("GET /preview?client={who:016x} HTTP/1.1\r\n{head}Connection: close\r\n\r\n");
+                (&stream).write_all(text.as_bytes()).map_err(|e| format!("write: {e}"))?;
+                let answer = Message::read(&mut std::io::BufReader::new(stream));
+                answer.ok_or_else(|| format!("no answer to request {answered} of {who}"))?;
+                answered += 1;
+            }
+            Ok(answered)
+        }
+    };
+    (0..4).map(|who| std::thread::spawn(client(who))).collect()
+}
+
+/// The second process once ended with "Address already in use", and a listener that closes resets its queue.
+#[test]
+fn a_new_version_takes_over_under_load_and_nothing_is_lost() {
+    let (say, reply) = held();
+    let node = Peer::start(move |call| match call.start.starts_with("POST") {
+        true => reply.clone(),
+        false => Reply::Ok("drafted"),
+    });
+    let (directory, counter) = (directory(), counter());
+    let configuration = operated(&[&node], &counter);
+    let mut old = Operated::start(&directory, &configuration);
+    let at = old.gatekeeper.address;
+    old.until("status", "200");
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = crowd(at, &stop);
+    let (mut taken, mut quiet) = (old.gatekeeper.connect(), old.gatekeeper.connect());
+    taken.issue("r1", "contract");
+    assert!(quiet.write(READY).answer().start.contains("200"));
+    let mut generations = Vec::new();
+    for _ in 0..3 {
+        let new = Operated::start(&directory, &configuration);
+        assert_eq!(new.gatekeeper.address, at);
+        new.until("status", "200");
+        old.gatekeeper.sigterm();
+        old.gatekeeper.logged(&["handed on", "taken=true"]);
+        new.gatekeeper.logged(&["taking over"]);
+        generations.push(std::mem::replace(&mut old, new));
+    }
+    // What the first process took is answered by it, long after others have taken over.
+    assert!(quiet.closed());
+    say.send("issued".into()).expect("the node hears");
+    let answer = taken.answer();
+    assert_eq!((answer.body.as_str(), answer.header("connection")), ("issued", Some("close")));
+    for mut ended in generations {
+        assert!(ended.gatekeeper.exit().success());
+    }
+    old.gatekeeper.logged(&["the old process has ended"]);
+    assert!(old.ready());
+    stop.store(true, Ordering::Relaxed);
+    let answered: Vec<_> = clients.into_iter().map(|c| c.join().expect("no panic")).collect();
+    assert!(answered.iter().all(|a| a.as_ref().is_ok_and(|n| *n > 0)), "{answered:?}");
+}
+
+/// What the old process admitted counts at the new one, also where no counter tells: a second window once cost as
+/// much again.
+#[test]
+fn what_the_old_process_spent_counts_at_the_new_one() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let (directory, silent) = (directory(), Peer::start(|_| Reply::Silence));
+    let configuration = operated(&[&node], &silent);
+    let old = Operated::start(&directory, &configuration);
+    old.until("status", "200");
+    let served = |at: &Operated, who: &str| {
+        let mut client = at.gatekeeper.connect();
+        (0..30).filter(|n| client.preview(&format!("{who}{n}")).answer().body == "drafted").count()
+    };
+    // Of ten units the last ones are drawn, with no total to go by.
+    let first = served(&old, "a");
+    assert!(first >= 5, "{first}");
+    let new = Operated::start(&directory, &configuration);
+    new.until("status", "200");
+    old.gatekeeper.sigterm();
+    new.gatekeeper.logged(&["taking over", "customers=1"]);
+    let second = served(&new, "b");
+    assert!(first + second <= 12, "{first} and {second}");
+}
+
+/// Whichever of the two dies, the other serves.
+#[test]
+fn a_death_on_either_side_leaves_the_other_serving() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let (directory, counter) = (directory(), counter());
+    let configuration = operated(&[&node], &counter);
+    let mut old = Operated::start(&directory, &configuration);
+    old.until("status", "200");
+    let mut stillborn = Operated::start(&directory, &configuration);
+    stillborn.gatekeeper.signal("KILL");
+    stillborn.gatekeeper.exit();
+    assert!(old.ready());
+    // A further one may wait then, and takes over when the old one is killed outright.
+    let new = Operated::start(&directory, &configuration);
+    new.until("status", "200");
+    old.gatekeeper.signal("KILL");
+    old.gatekeeper.exit();
+    new.gatekeeper.logged(&["ended without handing on"]);
+    assert_eq!(new.gatekeeper.connect().preview("r1").answer().body, "drafted");
+    // With its new one dead it drains as at a planned restart.
+    let mut stillborn = Operated::start(&directory, &configuration);
+    stillborn.gatekeeper.signal("KILL");
+    stillborn.gatekeeper.exit();
+    let mut new = new;
+    new.gatekeeper.sigterm();
+    new.gatekeeper.logged(&["this one goes on"]);
+    assert_eq!(new.gatekeeper.connect().preview("r2").answer().body, "drafted");
+    assert!(new.gatekeeper.exit().success());
+}
+
+/// A process that is stopped gives nothing: the new one serves beside it.
+#[test]
+fn a_stopped_process_does_not_hold_its_successor_up() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let (directory, counter) = (directory(), counter());
+    let configuration = operated(&[&node], &counter);
+    let old = Operated::start(&directory, &configuration);
+    let listen = format!("\"listen\":\"{}\"", old.gatekeeper.address);
+    old.gatekeeper.signal("STOP");
+    let new = Operated::start(&directory, &configuration.replace("\"listen\":\"127.0.0.1:0\"", &listen));
+    assert_eq!(new.gatekeeper.address, old.gatekeeper.address);
+    new.until("status", "200");
+}
+
+/// Nothing of this is there where no door is set.
+#[test]
+fn without_a_door_no_process_can_follow() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let directory = directory();
+    let configuration = operated(&[&node], &counter()).replace("\"operator\":\"127.0.0.1:0\",", "");
+    let first = Gatekeeper::start_in(&directory, &configuration, &[]);
+    let listen = format!("\"listen\":\"{}\"", first.address);
+    let second = configuration.replace("\"listen\":\"127.0.0.1:0\"", &listen);
+    let output = Gatekeeper::spawn(&second).wait_with_output().expect("it exits");
+    assert!(String::from_utf8_lossy(&output.stderr).contains("Address already in use"));
+    assert_eq!(std::fs::read_dir(&directory).expect("a directory").count(), 0);
+}
+
+/// The door answers within a second beside callers that hold their connections and say nothing whole.
+#[test]
+fn the_door_answers_beside_callers_that_hold_it() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let directory = directory();
+    let operated = Operated::start(&directory, &operated(&[&node], &counter()));
+    operated.until("status", "200");
+    let holding: Vec<_> = (0..40)
+        .map(|n| {
+            let mut stream = TcpStream::connect(operated.door).expect("the door is open");
+            // Whoever was let go to make room may find that out here.
+            let _ = stream.write_all(if n % 2 == 0 { b"stat" } else { b"" });
+            stream
+        })
+        .collect();
+    let begun = Instant::now();
+    assert!(operated.call("status").starts_with("200 "));
+    assert!(operated.call("stat").starts_with("400 "));
+    assert!(operated.call(&"status ".repeat(200)).starts_with("400 line too long"));
+    assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+    drop(holding);
+}
+
+/// On standby nothing is lost, and no client's connection is left after a while; then clients are taken again.
+#[test]
+fn standby_sends_clients_away_and_active_takes_them_again() {
+    let (say, reply) = held();
+    let node = Peer::start(move |call| match call.start.starts_with("POST") {
+        true => reply.clone(),
+        false => Reply::Ok("drafted"),
+    });
+    let directory = directory();
+    let operated = Operated::start(&directory, &operated(&[&node], &counter()));
+    operated.until("status", "200");
+    assert!(operated.call("active").starts_with("200 active already"));
+    let (mut taken, mut used, mut quiet) =
+        (operated.gatekeeper.connect(), operated.gatekeeper.connect(), operated.gatekeeper.connect());
+    taken.issue("r1", "contract");
+    assert_eq!(used.preview("r2").answer().header("connection"), None);
+    assert_eq!(quiet.preview("r3").answer().header("connection"), None);
+    assert!(operated.call("standby").starts_with("200 "));
+    operated.gatekeeper.logged(&["operators' order"]);
+    assert!(!operated.ready());
+    assert!(operated.call("standby").starts_with("200 on standby already"));
+    // What comes all the same is served, on kept connections and new ones, and its answer ends the connection.
+    for client in [&mut used, &mut operated.gatekeeper.connect()] {
+        let answer = client.preview("r4").answer();
+        assert_eq!((answer.body.as_str(), answer.header("connection")), ("drafted", Some("close")));
+        assert!(client.closed());
+    }
+    assert!(quiet.closed());
+    say.send("issued".into()).expect("the node hears");
+    assert_eq!(taken.answer().header("connection"), Some("close"));
+    assert!(operated.call("active").starts_with("200 "));
+    operated.gatekeeper.logged(&["operators' order"]);
+    assert!(operated.ready());
+    assert_eq!(operated.gatekeeper.connect().preview("r5").answer().header("connection"), None);
+}
+
+/// A standby during an upgrade holds for the new process, and SIGTERM during standby ends the old one.
+#[test]
+fn standby_goes_over_to_the_new_process() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let directory = directory();
+    let configuration = operated(&[&node], &counter());
+    let mut old = Operated::start(&directory, &configuration);
+    let new = Operated::start(&directory, &configuration);
+    new.until("status", "200");
+    assert!(old.call("standby").starts_with("200 "));
+    old.gatekeeper.logged(&["operators' order"]);
+    old.gatekeeper.sigterm();
+    assert!(old.gatekeeper.exit().success());
+    new.gatekeeper.logged(&["taking over"]);
+    assert!(!new.ready());
+    assert!(new.call("active").starts_with("200 active"));
+    new.gatekeeper.logged(&["operators' order"]);
+    assert!(new.ready());
+}
