--- a/src/interface.rs
+++ b/src/interface.rs
@@ -52,7 +52,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Its name on requests.
     pub name: String,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -89,6 +89,7 @@
 mod legacy;
 pub mod operators;
 pub mod quota;
+mod retune;
 mod rules;
 #[cfg(feature = "adapter")]
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -57,11 +57,11 @@
 }
 
 /// What only a restart changes.
-type Fixed = (String, SocketAddr, Limits, Value);
+type Fixed = (String, SocketAddr, Limits);
 
 impl Configuration {
     fn fixed(&self) -> Fixed {
-        (self.name.clone(), self.listen, self.limits, self.settings.clone())
+        (self.name.clone(), self.listen, self.limits)
     }
 }
 
@@ -91,9 +91,10 @@
 
 type Told = (Configuration, Settings, settings::SocketSettings);
 
-fn configuration(path: &str) -> Result<Told, String> {
+fn configuration(path: &str) -> Result<(Value, Told), String> {
     let text = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
-    usable(&text).map_err(|why| format!("{path}: {why}"))
+    let whole = serde_json::from_slice(&text).map_err(|e| e.to_string());
+    whole.and_then(|whole| Ok((whole, usable(&text)?))).map_err(|why| format!("{path}: {why}"))
 }
 
 fn usable(text: &[u8]) -> Result<Told, String> {
@@ -108,51 +109,70 @@
     Ok((c, decisions, sockets))
 }
 
-/// Reads the file again at each SIGHUP and hands the parts what has changed: where the counter and discovery are.
-/// Sessions, books and calls under way live on; a file that cannot be used changes nothing.
-async fn reload(
-    mut hangup: Signal,
+/// What SIGHUP may change.
+struct Reload {
     path: String,
+    /// What only a restart changes.
     fixed: Fixed,
-    counter: counter::Counter,
+    /// The configuration in force, whole.
+    in_force: Value,
+    desk: Desk,
     discovery: watch::Sender<SocketAddr>,
-    (halls, queue): (Option<std::path::PathBuf>, net::Inputs),
-) {
+    halls: Option<std::path::PathBuf>,
+}
+
+/// Reads the file again at each SIGHUP and hands the parts what has changed: where the counter and discovery are, and
+/// the settings. Sessions, books and calls under way live on; a file that cannot be used changes nothing.
+async fn reload(mut hangup: Signal, mut r: Reload) {
     while hangup.recv().await.is_some() {
-        match halls.as_deref().map(halls_from) {
+        match r.halls.as_deref().map(halls_from) {
             Some(Ok(settings)) => {
                 tracing::info!("SIGHUP: settings of halls read again");
-                let _ = queue.send(Input::Halls(Box::new(settings)));
+                let _ = r.desk.queue.send(Input::Halls(Box::new(settings)));
             }
             Some(Err(message)) => {
                 tracing::warn!(message, "SIGHUP: settings of halls not usable, the old ones stay")
             }
             None => {}
         }
-        let now = match configuration(&path) {
-            Ok((now, ..)) => now,
+        let read = std::fs::read(&r.path).map_err(|e| e.to_string());
+        let (whole, (now, decisions, sockets)) = match read.and_then(|text| renewed(&text, &r.in_force)) {
+            Ok(read) => read,
             Err(message) => {
                 tracing::warn!(message, "SIGHUP: configuration not usable, the old one stays");
                 continue;
             }
         };
         let counter_at = now.counter.unwrap_or(now.discovery);
-        counter.moved(counter_at);
-        discovery.send_if_modified(|at| std::mem::replace(at, now.discovery) != now.discovery);
-        tracing::info!(discovery = %now.discovery, counter = %counter_at, "SIGHUP: configuration read again");
-        if now.fixed() != fixed {
-            tracing::warn!(
-                "SIGHUP: name, listen, limits or settings differ, which takes effect at a restart"
-            );
+        r.desk.counter.moved(counter_at);
+        r.discovery.send_if_modified(|at| std::mem::replace(at, now.discovery) != now.discovery);
+        let retuned = whole["settings"] != r.in_force["settings"];
+        if retuned {
+            r.desk.counter.wait(sockets.count_wait);
+            r.desk.frontend.retune(frontend::Terms::of(&decisions), sockets.max_retry_after);
+            let _ = r.desk.queue.send(Input::Settings(Box::new(decisions)));
         }
+        tracing::info!(discovery = %now.discovery, counter = %counter_at, retuned, "SIGHUP: configuration read again");
+        if now.fixed() != r.fixed {
+            tracing::warn!("SIGHUP: name, listen or limits differ, which takes effect at a restart");
+        }
+        r.in_force = whole;
     }
 }
 
+/// A configuration that may take the place of the one in force, whole and as read.
+fn renewed(text: &[u8], in_force: &Value) -> Result<(Value, Told), String> {
+    let whole: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    settings::replaces(&whole, in_force)?;
+    Ok((whole, usable(text)?))
+}
+
 /// Settings of halls in force, and the file that they come from.
 type HallsFrom = Option<(std::path::PathBuf, HallSettings)>;
 
 async fn serve(
     path: String,
+    in_force: Value,
     (c, s, sockets): Told,
     halls: HallsFrom,
     quota: QuotaSettings,
@@ -195,7 +215,6 @@
     );
     let (discovery, discovery_at) = watch::channel(c.discovery);
     let halls_file = halls.as_ref().map(|h| h.0.clone());
-    actix_rt::spawn(reload(hangup, path, fixed, counter.clone(), discovery, (halls_file, queue.clone())));
     let platform = Platform {
         dispatcher: dispatch::Dispatcher::new(Rc::clone(&nodes), Rc::clone(&table), queue.clone()),
         counter: counter.clone(),
@@ -231,6 +250,8 @@
     tracing::info!(name = c.name, %listen, "serving");
 
     let desk = Desk { frontend, nodes, counter, queue, whole };
+    let reloads = Reload { path, fixed, in_force, desk: desk.clone(), discovery, halls: halls_file };
+    actix_rt::spawn(reload(hangup, reloads));
     let told = Arc::new(operator::Known::default());
     let (orders, mut ordered) = tokio::sync::mpsc::unbounded_channel();
     if let Some(at) = door {
@@ -486,9 +507,9 @@
         let path = path?;
         configuration(&path).map(|told| (path, told, operators))
     });
-    let served = told.and_then(|(path, told, (halls, quota))| {
+    let served = told.and_then(|(path, (in_force, told), (halls, quota))| {
         let halls = halls.map(|settings| (cli.halls.clone().unwrap_or_default(), settings));
-        actix_rt::System::new().block_on(serve(path, told, halls, quota.unwrap_or_default()))
+        actix_rt::System::new().block_on(serve(path, in_force, told, halls, quota.unwrap_or_default()))
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{mpsc, oneshot};
 use whinstall::{
-    Action, CountName, CustomerId, Event, Gateway, HostEntry, HostId, Legacy, ListScope, RequestId,
+    Action, CountName, CustomerId, Event, Gateway, HostEntry, HostId, Legacy, ListScope, RequestId, Settings,
 };
 
 /// A session is ended by the core itself so long after its client gave up, should nothing else have ended it.
@@ -164,6 +164,8 @@
     ServerTable(ListScope, Vec<HostEntry>),
     /// Settings of halls read again: they replace those in force, if any.
     Halls(Box<whinstall::halls::HallSettings>),
+    /// Settings read again: what comes from now on goes by them.
+    Settings(Box<Settings>),
     /// Another process takes over: what the module knows is handed on.
     Bequeath(oneshot::Sender<Legacy>),
     /// The other process did not take over after all.
@@ -181,6 +183,8 @@
     reply: Option<oneshot::Sender<Answer<P::Reply>>>,
     deadline: Duration,
     overdue: (Duration, u64),
+    /// The most dispatches, by the settings that it came under.
+    max_attempts: usize,
     /// What calls each dispatch off, in the order they began.
     dispatches: Vec<Option<oneshot::Sender<()>>>,
 }
@@ -331,6 +335,10 @@
                 self.handle(Event::Hosts { scope, entries });
                 self.tell_halls();
             }
+            Input::Settings(settings) => {
+                self.max_attempts = settings.max_attempts.max(1) as usize;
+                self.gateway.retune(*settings);
+            }
             Input::Bequeath(to) => {
                 let _ = to.send(self.gateway.bequeath());
             }
@@ -362,6 +370,7 @@
             reply: Some(new.reply),
             deadline,
             overdue,
+            max_attempts: self.max_attempts,
             dispatches: Vec::new(),
         };
         self.sessions.insert(new.id.clone(), session);
@@ -489,7 +498,8 @@
         let number = session.dispatches.len() as u32;
         let left = session.deadline.saturating_sub(now);
         let within = timeout.unwrap_or(left).min(left);
-        let over = session.reply.is_none() || left.is_zero() || session.dispatches.len() >= self.max_attempts;
+        let over =
+            session.reply.is_none() || left.is_zero() || session.dispatches.len() >= session.max_attempts;
         let (call_off, called_off) = oneshot::channel();
         session.dispatches.push(Some(call_off));
         if over {
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -33,7 +33,7 @@
 struct Inner {
     exchanger: Exchanger,
     address: Cell<SocketAddr>,
-    wait: Duration,
+    wait: Cell<Duration>,
     /// A call is listened for so much longer than the wait.
     late: Duration,
     /// Calls listened for after their wait.
@@ -54,7 +54,7 @@
         queue: Inputs,
     ) -> Self {
         let exchanger = Exchanger::new(dial.min(wait), IDLE, most.min(CONNECTIONS));
-        let address = Cell::new(address);
+        let (address, wait) = (Cell::new(address), Cell::new(wait));
         let (listened, lines) = (Cell::default(), RefCell::default());
         Counter(Rc::new(Inner { exchanger, address, wait, late, listened, queue, lines }))
     }
@@ -65,6 +65,11 @@
         self.0.exchanger.close_unless(|_, leads_to| leads_to == address);
     }
 
+    /// Calls are given up after this from now on.
+    pub fn wait(&self, wait: Duration) {
+        self.0.wait.set(wait);
+    }
+
     /// The connections to it.
     pub fn connections(&self) -> &Exchanger {
         &self.0.exchanger
@@ -127,7 +132,7 @@
 /// One call, until it is answered or given up. What is given up with its last byte maybe on the way goes on in a
 /// task of its own for a while; its answer proves that it was added.
 async fn exchange(inner: &Rc<Inner>, call: &CounterCall, at: Instant) -> (ConnectionEnd, f64) {
-    let within = inner.wait.saturating_sub(at.elapsed());
+    let within = inner.wait.get().saturating_sub(at.elapsed());
     if within.is_zero() {
         // It waited in line for all its time: never sent.
         return (ConnectionEnd::TimedOut { written: false }, 0.0);
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -48,6 +48,8 @@
 const LINGER_MOST: usize = 4 * BODY_MOST;
 /// Customers' numbers are below this.
 const CUSTOMERS: u64 = 1 << 33;
+/// Requests of a class that went may be on their way for so long.
+const PASSING: Duration = Duration::from_secs(3);
 /// On standby a connection that said nothing for so long is closed: those in use have their answers close them.
 const QUIET: Duration = Duration::from_millis(1000);
 /// Where none of its connections can be closed, so many beyond the budget are taken, to be denied.
@@ -72,6 +74,8 @@
 pub struct Terms {
     /// Classes, and whether their requests may be repeated.
     classes: HashMap<String, bool>,
+    /// Those that are no longer in force, taken until then.
+    passing: Option<(HashMap<String, bool>, Instant)>,
     plans: Vec<String>,
     units_top: f64,
     replicas: u32,
@@ -82,7 +86,19 @@
     pub fn of(s: &Settings) -> Self {
         let classes = s.classes.iter().map(|c| (c.name.clone(), c.idempotency == Idempotency::Repeatable));
         let plans = s.plans.iter().map(|p| p.name.clone()).collect();
-        Terms { classes: classes.collect(), plans, units_top: s.units_top, replicas: s.replicas }
+        Terms {
+            classes: classes.collect(),
+            passing: None,
+            plans,
+            units_top: s.units_top,
+            replicas: s.replicas,
+        }
+    }
+
+    /// May requests of this class be repeated? `None`: there is no such class.
+    fn repeatable(&self, class: &str) -> Option<bool> {
+        let passing = self.passing.as_ref().filter(|(_, until)| Instant::now() < *until);
+        self.classes.get(class).or_else(|| passing?.0.get(class)).copied()
     }
 
     /// Units and spread of an `X-Metering` header.
@@ -235,6 +251,16 @@
         self.stance() != Stance::Open
     }
 
+    /// Requests that come from now on are read by these terms, and denials advise no longer a wait than this. What
+    /// is on its way of classes that went is taken for a while more.
+    pub fn retune(&self, mut terms: Terms, max_retry_after: Duration) {
+        let mut held = self.terms.borrow_mut();
+        let passing = held.classes.iter().filter(|(name, _)| !terms.classes.contains_key(*name));
+        terms.passing = Some((passing.map(|(n, r)| (n.clone(), *r)).collect(), Instant::now() + PASSING));
+        *held = Rc::new(terms);
+        self.max_retry_after.set(max_retry_after);
+    }
+
     /// Holds so many connections from now on.
     pub fn hold(&self, most: usize) {
         self.most.set(most);
@@ -401,7 +427,7 @@
         let text = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).map(str::trim);
         let word = id.to_str().ok().filter(|id| !id.is_empty()).ok_or(bad("no usable Request-Id"))?;
         let class = text("request-class").ok_or(bad("no Request-Class"))?;
-        let repeatable = *terms.classes.get(class).ok_or(bad("no such Request-Class"))?;
+        let repeatable = terms.repeatable(class).ok_or(bad("no such Request-Class"))?;
         if request.path().split('/').nth(1) != Some(class) {
             return Err(bad("a path of another class"));
         }
--- /dev/null
+++ b/src/retune.rs
@@ -0,0 +1,49 @@
+//! Settings that change while a gateway runs: classes and plans come, go and differ, and requests that are open keep
+//! the class and the number of attempts that they came under. It owns which records of the old settings live on. It
+//! must never decide on a request.
+
+use crate::interface::Settings;
+use crate::state::{sane_settings, Gateway};
+
+/// The answers that a first guess at a class's latency counts for.
+const SEEN_PRIOR: f64 = 4.0;
+/// A first guess at a class's latency, as a part of its aim.
+const SEEN_PART: f64 = 0.2;
+
+impl Gateway {
+    /// Goes by these settings from now on, for all that comes. Classes are told apart by index: one that goes or
+    /// differs keeps its place for the requests that are open, and its successor gets a new one.
+    pub fn retune(&mut self, settings: Settings) {
+        let mut s = sane_settings(settings);
+        let told = std::mem::take(&mut s.classes);
+        s.classes = std::mem::take(&mut self.s.classes);
+        for (index, class) in s.classes.iter().enumerate() {
+            // The one without a name, for what is not known, stays.
+            if !class.name.is_empty() && !told.contains(class) {
+                self.retired.insert(index);
+            }
+        }
+        for class in told {
+            let held = s.classes.iter().rposition(|c| *c == class);
+            if let Some(index) = held {
+                // Also one that went and comes again as it was.
+                self.retired.remove(&index);
+                continue;
+            }
+            let before = s.classes.iter().rposition(|c| c.name == class.name);
+            let guess = (class.aim.as_secs_f64().max(0.01) * SEEN_PART, 2.0, SEEN_PRIOR);
+            self.seen.push(before.map_or(guess, |index| self.seen[index]));
+            s.classes.push(class);
+        }
+        let plans = std::mem::take(&mut s.plans);
+        s.plans = std::mem::take(&mut self.s.plans);
+        for plan in plans {
+            match s.plans.iter_mut().find(|p| p.name == plan.name) {
+                Some(held) => *held = plan,
+                None => s.plans.push(plan),
+            }
+        }
+        self.s = s;
+        self.table_until = self.now;
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -656,7 +656,7 @@
             let to_aim = r.arrived + class.aim.as_secs_f64() - AIM_MARGIN - now;
             let patience = (PATIENCE * work).max(PATIENCE_AIM * class.aim.as_secs_f64());
             let repeatable = class.idempotency == Idempotency::Repeatable;
-            let again = repeatable && self.s.max_attempts as usize > r.attempts.len() + 1;
+            let again = repeatable && r.most > r.attempts.len() + 1;
             let spare = again && self.retries >= 1.0 && patience + work < to_aim;
             r.copy_at = f64::INFINITY;
             if spare && self.s.may_duplicate && r.attempts.is_empty() {
@@ -682,7 +682,7 @@
         let class = &self.s.classes[r.class];
         let out = r.attempts.iter().any(|a| a.out);
         let ran = r.attempts.iter().filter(|a| a.may_have_run || a.out);
-        if r.over || r.deadline <= self.now || r.attempts.len() >= self.s.max_attempts as usize {
+        if r.over || r.deadline <= self.now || r.attempts.len() >= r.most {
             return false;
         }
         if out && (!self.s.may_duplicate || class.idempotency != Idempotency::Repeatable) {
@@ -872,8 +872,8 @@
             return;
         }
         let plan = self.s.plans.iter().position(|p| p.name == plan).filter(|_| !budget.is_zero());
-        let class = self.s.classes.iter().position(|c| c.name == class).unwrap_or(self.s.classes.len() - 1);
-        let r = Request::new(class, customer, sane(units), self.now, self.now + budget.as_secs_f64());
+        let (class, most) = (self.s.class(&class), self.s.max_attempts);
+        let r = Request::new(class, customer, sane(units), (self.now, budget.as_secs_f64()), most);
         let fate = plan.map_or(Err(0.0), |plan| self.admit(&id, r, plan, width, actions));
         let Err(away) = fate else { return };
         actions.push(self.refuse(id, away));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -32,6 +32,67 @@
     Ok((told.into_settings(), sockets))
 }
 
+/// Keys of a class that only some effects have.
+const OF_SOME_CLASSES: [&str; 3] = ["aimStretch", "group", "windowS"];
+
+/// May this whole configuration replace the one in force, as far as keys go? It must have every key that the one in
+/// force has, each class and plan every key that all of them have, and deadlines and attempts that are numbers above
+/// 0. The list of nodes is discovery's to judge.
+///
+/// # Errors
+/// One line that names the first field at fault.
+pub fn replaces(new: &Value, in_force: &Value) -> Result<(), String> {
+    has_keys_of(new, in_force, "")?;
+    let above_nought = |value: Option<&Value>, path: String| {
+        let number = value.and_then(Value::as_f64);
+        number.filter(|n| *n > 0.0).map(drop).ok_or_else(|| format!("{path}: no number above 0"))
+    };
+    let settings = &new["settings"];
+    above_nought(settings["limits"].get("maxAttempts"), "settings.limits.maxAttempts".into())?;
+    let classes = settings["classes"].as_array().filter(|c| !c.is_empty()).ok_or("settings.classes: none")?;
+    let mut names = std::collections::BTreeSet::new();
+    for (index, class) in classes.iter().enumerate() {
+        let path = |key: &str| format!("settings.classes[{index}].{key}");
+        above_nought(class.get("hardLimitS"), path("hardLimitS"))?;
+        above_nought(class.get("aimS"), path("aimS"))?;
+        let name = class["name"].as_str().filter(|n| !n.is_empty()).ok_or_else(|| path("name"))?;
+        if !names.insert(name) {
+            return Err(format!("{}: {name:?} stands twice", path("name")));
+        }
+        let known = matches!(class["idempotency"].as_str(), Some("repeatable" | "once" | "by_key"));
+        if !known {
+            return Err(format!("{}: no such effect", path("idempotency")));
+        }
+    }
+    Ok(())
+}
+
+fn has_keys_of(new: &Value, in_force: &Value, path: &str) -> Result<(), String> {
+    match (new, in_force) {
+        (Value::Object(new), Value::Object(held)) => {
+            for (key, held) in held.iter().filter(|(key, held)| !held.is_null() && *key != "known") {
+                let path = format!("{path}{}{key}", if path.is_empty() { "" } else { "." });
+                let new = new.get(key).filter(|v| !v.is_null()).ok_or_else(|| format!("{path}: missing"))?;
+                has_keys_of(new, held, &path)?;
+            }
+            Ok(())
+        }
+        (Value::Array(new), Value::Array(held)) => {
+            let Some(Value::Object(first)) = held.first() else { return Ok(()) };
+            let common = |key: &String| held.iter().all(|h| h.get(key).is_some());
+            let needed =
+                first.iter().filter(|(key, _)| common(key) && !OF_SOME_CLASSES.contains(&key.as_str()));
+            let needed = Value::Object(needed.map(|(k, v)| (k.clone(), v.clone())).collect());
+            let mut entries = new.iter().enumerate();
+            entries.try_for_each(|(n, entry)| has_keys_of(entry, &needed, &format!("{path}[{n}]")))
+        }
+        (Value::Number(_), Value::Number(_))
+        | (Value::String(_), Value::String(_))
+        | (Value::Bool(_), Value::Bool(_)) => Ok(()),
+        _ => Err(format!("{path}: of another kind than before")),
+    }
+}
+
 /// A span in seconds; what is negative or not finite counts as none.
 pub fn span(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::ZERO)
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use crate::quota::share::Share;
 use crate::quota::{Guard, QuotaSettings, Report};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -213,6 +213,8 @@
     pub(crate) settled: bool,
     /// Its chance to pass where the counter does not answer.
     pub(crate) chance: f64,
+    /// The most attempts that it may have, by the settings that it came under.
+    pub(crate) most: usize,
     /// Its attempts, in the order they were sent.
     pub(crate) attempts: Vec<Attempt>,
 }
@@ -299,6 +301,8 @@
     pub(crate) out: u32,
     /// Further attempts saved up.
     pub(crate) retries: f64,
+    /// Classes that are no longer in force, or not as they were, by index: requests that came under them keep them.
+    pub(crate) retired: BTreeSet<usize>,
     /// Has another process of this gateway taken over? Hard ceilings are that one's to spend then.
     pub(crate) bequeathed: bool,
 }
@@ -348,6 +352,7 @@
             queue: Default::default(),
             out: Default::default(),
             retries: Default::default(),
+            retired: Default::default(),
             bequeathed: false,
         }
     }
@@ -428,18 +433,34 @@
 }
 
 impl Request {
-    /// One that has just come.
-    pub(crate) fn new(class: usize, customer: CustomerId, units: f64, arrived: f64, deadline: f64) -> Self {
+    /// One that has just come, at `arrived`, with so many seconds left and so many attempts.
+    pub(crate) fn new(
+        class: usize,
+        customer: CustomerId,
+        units: f64,
+        (arrived, budget): (f64, f64),
+        most: u32,
+    ) -> Self {
         let (copy_at, chance, attempts) = (f64::INFINITY, 1.0, Vec::new());
-        let (over, settled) = (false, false);
-        Request { class, customer, units, arrived, deadline, copy_at, over, settled, chance, attempts }
+        let (over, settled, deadline, most) = (false, false, arrived + budget, most as usize);
+        Request { class, customer, units, arrived, deadline, copy_at, over, settled, chance, most, attempts }
+    }
+}
+
+impl Settings {
+    /// The class of this name, by index: the newest, where one was changed; one without a name stands for all that
+    /// are not known.
+    pub(crate) fn class(&self, name: &str) -> usize {
+        let find = |name: &str| self.classes.iter().rposition(|c| c.name == name);
+        find(name).or_else(|| find("")).unwrap_or(0)
     }
 }
 
 impl Gateway {
     /// Mean latency over the classes.
     pub(crate) fn mean_latency(&self) -> f64 {
-        self.seen.iter().map(|s| s.0).sum::<f64>() / self.seen.len() as f64
+        let (sum, count) = self.live_classes().fold((0.0, 0), |(sum, count), s| (sum + s.0, count + 1));
+        sum / f64::from(count)
     }
     /// Requests refused so far because they fit in no hall: they are part of what is offered here.
     pub fn turned_out(&self) -> u64 {
@@ -456,6 +477,11 @@
     }
     /// Mean seconds that a unit is out.
     pub(crate) fn hold(&self) -> f64 {
-        self.seen.iter().map(|s| s.0).sum::<f64>() / self.seen.iter().map(|s| s.1).sum::<f64>()
+        let sums = self.live_classes().fold((0.0, 0.0), |sums, s| (sums.0 + s.0, sums.1 + s.1));
+        sums.0 / sums.1
+    }
+    /// What was seen of the classes in force.
+    fn live_classes(&self) -> impl Iterator<Item = &(f64, f64, f64)> {
+        self.seen.iter().enumerate().filter(|(n, _)| !self.retired.contains(n)).map(|(_, s)| s)
     }
 }
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -285,3 +285,89 @@
     new.gatekeeper.logged(&["operators' order"]);
     assert!(new.ready());
 }
+
+/// The configuration with some of its text replaced, which must be there.
+fn but(configuration: &str, from: &str, to: &str) -> String {
+    assert!(configuration.contains(from), "{from}");
+    configuration.replacen(from, to, 1)
+}
+
+/// Settings once took effect at a restart only. Open requests keep the class and the attempts that they came under;
+/// a new class goes by its own.
+#[test]
+fn retuning_changes_what_comes_and_nothing_that_is_open() {
+    let (say, reply) = held();
+    let replies = std::sync::Mutex::new(vec![Reply::Ok("drafted"), Reply::Hangup, reply]);
+    let node = Peer::start(move |_| replies.lock().expect("whole").pop().unwrap_or(Reply::Hangup));
+    let directory = directory();
+    let before = operated(&[&node], &counter());
+    let operated = Operated::start(&directory, &before);
+    operated.until("status", "200");
+    let mut open = operated.gatekeeper.connect();
+    // Held by the node until the settings have changed, then torn: its second attempt is its old class's due.
+    open.preview("r1");
+    node.request();
+    let after = but(&before, r#""name": "preview", "aimS": 1.2"#, r#""name": "draft", "aimS": 2.5"#);
+    let after = but(&after, "repeatable", "once");
+    let after = but(&after, r#""maxAttempts": 5"#, r#""maxAttempts": 1"#);
+    operated.gatekeeper.sighup(&after, "retuned=true");
+    let draft = |id: &str| {
+        let head = headers(id, "draft", "4");
+        let text = format!("POST /draft?client=00000000b4d65522 HTTP/1.1\r\n{head}Content-Length: 0\r\n\r\n");
+        operated.gatekeeper.connect().write(&text).answer().start
+    };
+    assert_eq!(draft("r2"), "HTTP/1.1 502 Bad Gateway", "once, and torn");
+    drop(say);
+    assert_eq!(open.answer().body, "drafted");
+    // What is on its way of the class that went is served for a while; who sends what never was is told so.
+    assert_eq!(
+        operated.gatekeeper.connect().preview("r3").answer().start,
+        "HTTP/1.1 503 Service Unavailable"
+    );
+    let unknown = headers("r4", "sketch", "4");
+    let unknown = format!("GET /sketch?client=00000000b4d65521 HTTP/1.1\r\n{unknown}\r\n");
+    assert_eq!(operated.gatekeeper.connect().write(&unknown).answer().body, "no such Request-Class");
+}
+
+/// A file with a deadline that is none once moved discovery to where nobody listened. What is turned down changes
+/// nothing, and the log names the field.
+#[test]
+fn a_file_that_is_not_whole_is_turned_down_whole() {
+    let node = Peer::start(|_| Reply::Ok("drafted"));
+    let (elsewhere, directory) = (Peer::start(|_| Reply::Silence), directory());
+    let before = operated(&[&node], &counter());
+    let operated = Operated::start(&directory, &before);
+    operated.until("status", "200");
+    let discovery =
+        before.split("\"discovery\":\"").nth(1).and_then(|t| t.split('"').next()).expect("it is told");
+    let moved = before.replace(discovery, &elsewhere.address.to_string());
+    let wrong = [
+        (String::new(), "EOF"),
+        (moved[..moved.len() / 2].to_owned(), "EOF"),
+        (moved[..moved.len() - 1].to_owned(), "EOF"),
+        (but(&moved, "\"operator\":\"127.0.0.1:0\",", ""), "operator: missing"),
+        (but(&moved, r#""connIdleS": 30.0, "#, ""), "settings.limits.connIdleS: missing"),
+        (but(&moved, r#", "hardLimitS": 4.0"#, ""), "settings.classes[0].hardLimitS: missing"),
+        (
+            but(&moved, r#""hardLimitS": 4.0"#, r#""hardLimitS": 0"#),
+            "settings.classes[0].hardLimitS: no number",
+        ),
+        (but(&moved, r#""hardLimitS": 6.0"#, r#""hardLimitS": "6 s""#), "settings.classes[1].hardLimitS"),
+        (but(&moved, r#""hardLimitS": 6.0"#, r#""hardLimitS": null"#), "settings.classes[1].hardLimitS"),
+        (
+            but(&moved, r#""maxAttempts": 5"#, r#""maxAttempts": -1"#),
+            "settings.limits.maxAttempts: no number",
+        ),
+        (but(&moved, r#""maxAttempts": 5"#, r#""maxAttempts": "many""#), "settings.limits.maxAttempts"),
+        (but(&moved, r#""name": "issue""#, r#""name": "preview""#), "stands twice"),
+        (but(&moved, "\"once\"", "\"twice\""), "settings.classes[1].idempotency"),
+    ];
+    for (n, (file, field)) in wrong.into_iter().enumerate() {
+        operated.gatekeeper.sighup(&file, field);
+        let mut client = operated.gatekeeper.connect();
+        assert_eq!(client.preview_for(&format!("r{n}"), n as u32).answer().body, "drafted", "{field}");
+    }
+    assert!(elsewhere.requests().is_empty());
+    operated.gatekeeper.sighup(&moved, "configuration read again");
+    assert!(elsewhere.request().start.starts_with("GET /v1/endpoints"));
+}
