Keep copies of what each gatekeeper spent; give the module a folder of its own

Need: a gatekeeper that dies takes what it knew with it, and a split counter tells each gatekeeper that nobody else asks. Change: src/fleet/replica.rs (pure: versions by origin, deltas, digests, bounds, forgotten lives), src/net/fleet.rs (HTTP/1.1 on the codec already here, CBOR), src/gateway/copies.rs (the larger of the counter's total and of all charges known stands; what a former life charged counts as own), the fleet record and deploy/fleet.cue.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -176,6 +176,11 @@
         self.errors.push(node.at, &self.path(name), message);
     }
 
+    /// Reports a field that must be given and is not, or says nothing.
+    pub fn missing(&self, name: &str) {
+        self.errors.push(self.at, &self.path(name), "must be given");
+    }
+
     fn wrong(&self, node: &Node, name: &str, wanted: &str) {
         self.error(node, name, format!("must be {wanted}, not {}", node.value.kind()));
     }
--- /dev/null
+++ b/src/fleet/replica.rs
@@ -0,0 +1,383 @@
+//! Copies of what each gatekeeper spent and saw, and how they become equal: every row has one writer, its origin, who
+//! numbers its changes; between two versions of a row the later stands, so merging commutes, associates and repeats
+//! without effect. What is missed is found by comparing, for each origin, up to which change one holds all rows. It
+//! must never let a row of one origin be changed by another, trust another machine's clock further than
+//! [`Bounds::keep`], or grow past its bounds.
+//!
+//! An origin is a gatekeeper's name with its incarnation: one that comes back under its old name is a new origin, and
+//! what its former self spent stays on that one's shelf until it is out of date.
+
+use crate::ground::{CustomerId, HostId};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// One life of one gatekeeper.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[cfg_attr(feature = "adapter", derive(serde::Serialize, serde::Deserialize))]
+pub struct Origin {
+    /// Its name, the same after a restart.
+    pub name: Arc<str>,
+    /// Which life: later ones have greater numbers.
+    pub incarnation: u64,
+}
+
+/// What a row is of.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[cfg_attr(feature = "adapter", derive(serde::Serialize, serde::Deserialize))]
+pub enum Key {
+    /// Units of a customer that the origin admitted in the quota window of this number.
+    Spent(CustomerId, i64),
+    /// Units of a customer that the origin drew from its hard ceiling since it began.
+    Drawn(CustomerId),
+    /// What the origin saw of a node.
+    Node(HostId),
+}
+
+/// What a row says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[cfg_attr(feature = "adapter", derive(serde::Serialize, serde::Deserialize))]
+pub enum Said {
+    /// Units; within one life they only grow.
+    Units(f64),
+    /// How a node does.
+    Judged(Judged),
+}
+
+/// One gatekeeper's judgement of one node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[cfg_attr(feature = "adapter", derive(serde::Serialize, serde::Deserialize))]
+pub struct Judged {
+    /// The node's last start as told by discovery, in Unix seconds; 0: long ago. A judgement of an earlier life of the
+    /// node says nothing of this one.
+    pub started: f64,
+    /// Share of its attempts that failed, 0 to 1.
+    pub fails: f64,
+    /// Its answers' latency over what was expected.
+    pub slow: f64,
+    /// Seconds since the judgement's last evidence, as of `at`.
+    pub age: f64,
+    /// When the row was written, by its origin's clock, in Unix seconds.
+    pub at: f64,
+}
+
+/// A row as it travels.
+#[derive(Clone, Debug, PartialEq)]
+#[cfg_attr(feature = "adapter", derive(serde::Serialize, serde::Deserialize))]
+pub struct Row {
+    /// What it is of.
+    pub key: Key,
+    /// The number of the change, among all of its origin.
+    pub version: u64,
+    /// Out of date after this, in Unix seconds by its origin's clock.
+    pub until: f64,
+    /// What it says.
+    pub said: Said,
+}
+
+/// Up to which change of each origin one holds everything.
+pub type Digest = BTreeMap<Origin, u64>;
+
+/// Rows of one origin, in the order of their changes: all that stand of those after `from` and up to `upto`.
+#[derive(Clone, Debug, PartialEq)]
+#[cfg_attr(feature = "adapter", derive(serde::Serialize, serde::Deserialize))]
+pub struct Piece {
+    /// Whose rows.
+    pub origin: Origin,
+    /// The receiver was taken to hold everything up to this.
+    pub from: u64,
+    /// With these rows it holds everything up to this.
+    pub upto: u64,
+    /// The rows.
+    pub rows: Vec<Row>,
+}
+
+/// Bounds of a replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Rows of one origin at the most.
+    pub rows: usize,
+    /// Origins at the most, beside this one.
+    pub origins: usize,
+    /// Seconds that a row is kept at the most, whatever its origin's clock says.
+    pub keep: f64,
+    /// Seconds after which an origin that is no longer heard of is forgotten.
+    pub forget: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds { rows: 8192, origins: 1024, keep: 60.0, forget: 600.0 }
+    }
+}
+
+/// What one holds of one origin.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Shelf {
+    /// Everything up to this change is here.
+    upto: u64,
+    rows: BTreeMap<Key, Row>,
+    /// Rows by the number of their change.
+    order: BTreeMap<u64, Key>,
+    /// When a new change of it last came.
+    heard: f64,
+}
+
+impl Shelf {
+    fn put(&mut self, row: Row, most: usize) -> bool {
+        let full = self.rows.len() >= most;
+        match self.rows.entry(row.key.clone()) {
+            Entry::Occupied(mut held) => {
+                if held.get().version >= row.version {
+                    return false;
+                }
+                self.order.remove(&held.get().version);
+                self.order.insert(row.version, row.key.clone());
+                held.insert(row);
+            }
+            Entry::Vacant(_) if full => return false,
+            Entry::Vacant(place) => {
+                self.order.insert(row.version, row.key.clone());
+                place.insert(row);
+            }
+        }
+        true
+    }
+
+    fn drop_old(&mut self, now: f64) {
+        let order = &mut self.order;
+        self.rows.retain(|_, row| {
+            let stays = row.until > now;
+            if !stays {
+                order.remove(&row.version);
+            }
+            stays
+        });
+    }
+}
+
+/// What was merged, for the operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Rows that were new here.
+    pub taken: u64,
+    /// Rows that were here already, in this version or a later one.
+    pub known: u64,
+    /// Rows turned down: of this process's own origin, of a forgotten life, out of bounds or no number.
+    pub refused: u64,
+}
+
+/// All copies that one gatekeeper holds, its own rows among them.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    me: Origin,
+    bounds: Bounds,
+    changes: u64,
+    shelves: BTreeMap<Origin, Shelf>,
+    /// The last life of each name that was forgotten, and when: nothing of it is taken again.
+    forgotten: BTreeMap<Arc<str>, (u64, f64)>,
+    tally: Tally,
+}
+
+impl Replica {
+    /// An empty one, of this life of this gatekeeper.
+    pub fn new(me: Origin, bounds: Bounds) -> Self {
+        let shelves = BTreeMap::from([(me.clone(), Shelf::default())]);
+        let (changes, forgotten, tally) = (0, BTreeMap::new(), Tally::default());
+        Replica { me, bounds, changes, shelves, forgotten, tally }
+    }
+
+    /// Notes what this gatekeeper itself spent or saw, valid for `valid` seconds. What says the same as before is no
+    /// change. `false`: there is no room.
+    pub fn note(&mut self, now: f64, key: Key, said: Said, valid: f64) -> bool {
+        let shelf = self.shelves.entry(self.me.clone()).or_default();
+        if shelf.rows.get(&key).is_some_and(|held| held.said == said) {
+            return true;
+        }
+        let until = now + valid.clamp(0.0, self.bounds.keep);
+        let noted = shelf.put(Row { key, version: self.changes + 1, until, said }, self.bounds.rows);
+        if noted {
+            self.changes += 1;
+            (shelf.upto, shelf.heard) = (self.changes, now);
+        }
+        noted
+    }
+
+    /// Up to which change of each origin everything is here.
+    pub fn digest(&self) -> Digest {
+        self.shelves.iter().map(|(origin, shelf)| (origin.clone(), shelf.upto)).collect()
+    }
+
+    /// What one who holds `theirs` lacks, of `most` rows in all at the most, and whether more is left: what is cut off
+    /// is found again by the next digest, so that a cut between two pieces loses nothing.
+    pub fn lacks(&self, now: f64, theirs: &Digest, most: usize) -> (Vec<Piece>, bool) {
+        let (mut pieces, mut room) = (Vec::new(), most);
+        for (origin, shelf) in &self.shelves {
+            let from = theirs.get(origin).copied().unwrap_or(0);
+            if from >= shelf.upto {
+                continue;
+            }
+            if room == 0 {
+                return (pieces, true);
+            }
+            let after = shelf.order.range(from + 1..).map(|(_, key)| &shelf.rows[key]);
+            let mut rows: Vec<Row> = after.take(room + 1).cloned().collect();
+            let cut = rows.len() > room;
+            rows.truncate(room);
+            room -= rows.len();
+            let upto = if cut { rows.last().map_or(from, |row| row.version) } else { shelf.upto };
+            rows.retain(|row| row.until > now);
+            pieces.push(Piece { origin: origin.clone(), from, upto, rows });
+            if cut {
+                return (pieces, true);
+            }
+        }
+        (pieces, false)
+    }
+
+    /// Takes a piece over, where it goes on from what is here: one that runs ahead is found again by the next digest.
+    /// So a shelf is always all of its origin's rows as of one change, and so is what it passes on: a row kept ahead of
+    /// the others could not be passed on once its origin is dead, and the copies would differ for good.
+    pub fn merge(&mut self, now: f64, piece: Piece) -> Tally {
+        let mut tally = Tally::default();
+        let gone = self.forgotten.get(&piece.origin.name).is_some_and(|f| f.0 >= piece.origin.incarnation);
+        let held = self.shelves.get(&piece.origin).map(|shelf| shelf.upto);
+        let full = held.is_none() && self.shelves.len() > self.bounds.origins;
+        let ahead = piece.from > held.unwrap_or(0) || piece.upto < piece.from;
+        if piece.origin == self.me || gone || full || ahead {
+            tally.refused = piece.rows.len() as u64;
+        } else {
+            let shelf =
+                self.shelves.entry(piece.origin).or_insert_with(|| Shelf { heard: now, ..Shelf::default() });
+            let mut whole = true;
+            for mut row in piece.rows {
+                let wrong = row.version == 0 || row.version > piece.upto || !row.sane();
+                row.until = row.until.min(now + self.bounds.keep);
+                whole &= !wrong;
+                match () {
+                    () if wrong => tally.refused += 1,
+                    () if row.version <= shelf.upto || row.until <= now => tally.known += 1,
+                    () if shelf.put(row, self.bounds.rows) => tally.taken += 1,
+                    () => tally.refused += 1,
+                }
+            }
+            // Where a row was none, nothing is proven of the others that may be missing.
+            if whole && piece.upto > shelf.upto {
+                (shelf.upto, shelf.heard) = (piece.upto, now);
+            }
+        }
+        self.tally.taken += tally.taken;
+        self.tally.known += tally.known;
+        self.tally.refused += tally.refused;
+        tally
+    }
+
+    /// Drops what is out of date, and origins not heard of for long; `alive` are the members' names. The last life of
+    /// a forgotten name is remembered as long again, so that a copy that lags does not bring it back.
+    pub fn sweep(&mut self, now: f64, alive: &BTreeSet<Arc<str>>) {
+        let (me, forget) = (self.me.clone(), self.bounds.forget);
+        self.forgotten.retain(|_, (_, at)| now - *at < 2.0 * forget);
+        let forgotten = &mut self.forgotten;
+        self.shelves.retain(|origin, shelf| {
+            shelf.drop_old(now);
+            let held = *origin == me || alive.contains(&origin.name) || now - shelf.heard < forget;
+            if !held {
+                let last = forgotten.entry(origin.name.clone()).or_insert((0, now));
+                *last = (last.0.max(origin.incarnation), now);
+            }
+            held
+        });
+        while self.forgotten.len() > self.bounds.origins {
+            let first =
+                self.forgotten.iter().min_by(|a, b| a.1 .1.total_cmp(&b.1 .1)).map(|(n, _)| n.clone());
+            let Some(first) = first else { break };
+            self.forgotten.remove(&first);
+        }
+    }
+
+    /// Units that others than this life of this gatekeeper, its former lives among them, are known to have admitted of
+    /// a customer in a window: never more than they did.
+    pub fn spent_elsewhere(&self, customer: &CustomerId, window: i64) -> f64 {
+        let key = Key::Spent(customer.clone(), window);
+        let others = self.shelves.iter().filter(|(origin, _)| **origin != self.me);
+        others.filter_map(|(_, shelf)| units(shelf.rows.get(&key)?)).sum()
+    }
+
+    /// The same of all customers and windows: the units of other gatekeepers, and those of former lives of this one.
+    pub fn all_spent_elsewhere(&self) -> Vec<(CustomerId, i64, f64, f64)> {
+        let mut all = BTreeMap::<(&CustomerId, i64), (f64, f64)>::new();
+        for (origin, shelf) in self.shelves.iter().filter(|(origin, _)| **origin != self.me) {
+            for (key, row) in &shelf.rows {
+                if let (Key::Spent(customer, window), Some(units)) = (key, units(row)) {
+                    let (others, former) = all.entry((customer, *window)).or_default();
+                    *(if origin.name == self.me.name { former } else { others }) += units;
+                }
+            }
+        }
+        let told = |((customer, window), (others, former)): ((&CustomerId, i64), (f64, f64))| {
+            (customer.clone(), window, others, former)
+        };
+        all.into_iter().map(told).collect()
+    }
+
+    /// Units that former lives of this gatekeeper drew of a customer's hard ceiling.
+    pub fn drawn_before(&self, customer: &CustomerId) -> f64 {
+        let key = Key::Drawn(customer.clone());
+        let former = self.shelves.iter().filter(|(o, _)| o.name == self.me.name && **o != self.me);
+        former.filter_map(|(_, shelf)| units(shelf.rows.get(&key)?)).sum()
+    }
+
+    /// What others saw of a node in this life of it: the judgement on the freshest evidence, where two are as fresh
+    /// the more careful one. Its age now is told with it, by this gatekeeper's clock, and never less than nothing.
+    pub fn judged_elsewhere(&self, now: f64, node: &HostId, started: f64) -> Option<(Judged, f64)> {
+        let key = Key::Node(node.clone());
+        let rows = self.shelves.iter().filter(|(origin, _)| **origin != self.me);
+        let rows = rows.filter_map(|(_, shelf)| match shelf.rows.get(&key)?.said {
+            Said::Judged(judged) if judged.started == started => Some(judged),
+            _ => None,
+        });
+        let aged = rows.map(|judged| (judged, judged.age + (now - judged.at).max(0.0)));
+        aged.min_by(|(a, a_age), (b, b_age)| {
+            let careful = |j: &Judged| (j.fails, j.slow);
+            let by_care = careful(b).partial_cmp(&careful(a)).unwrap_or(std::cmp::Ordering::Equal);
+            a_age.total_cmp(b_age).then(by_care)
+        })
+    }
+
+    /// Rows held, over all origins.
+    pub fn rows(&self) -> usize {
+        self.shelves.values().map(|shelf| shelf.rows.len()).sum()
+    }
+
+    /// By origin: up to which change everything is here, and seconds since one last came.
+    pub fn lag(&self, now: f64) -> impl Iterator<Item = (&Origin, u64, f64)> {
+        self.shelves.iter().map(move |(origin, shelf)| (origin, shelf.upto, (now - shelf.heard).max(0.0)))
+    }
+
+    /// What was merged so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+}
+
+fn units(row: &Row) -> Option<f64> {
+    match row.said {
+        Said::Units(units) => Some(units),
+        Said::Judged(_) => None,
+    }
+}
+
+impl Row {
+    /// Does it say what a row of its kind can say?
+    fn sane(&self) -> bool {
+        let figure = |x: f64| x.is_finite() && x >= 0.0;
+        self.until.is_finite()
+            && match (&self.key, self.said) {
+                (Key::Spent(..) | Key::Drawn(_), Said::Units(units)) => figure(units) && units <= 1e12,
+                (Key::Node(_), Said::Judged(j)) => {
+                    [j.started, j.fails, j.slow, j.age, j.at].into_iter().all(figure) && j.fails <= 1.0
+                }
+                _ => false,
+            }
+    }
+}
--- /dev/null
+++ b/src/fleet/tests.rs
@@ -0,0 +1,293 @@
+//! Properties of the copies: merging commutes, associates and repeats without effect, any schedule of loss, reorder,
+//! repetition and cut pieces ends in equal copies once links hold, and nothing passes the stated bounds.
+
+use super::replica::*;
+use crate::ground::{CustomerId, HostId};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+fn origin(n: usize, incarnation: u64) -> Origin {
+    Origin { name: format!("g{n}").into(), incarnation }
+}
+
+fn customer(n: u8) -> CustomerId {
+    CustomerId(Arc::from(format!("c{n}")))
+}
+
+fn spent(n: u8, window: i64) -> Key {
+    Key::Spent(customer(n), window)
+}
+
+/// What happens in a fleet of four.
+#[derive(Clone, Debug)]
+enum Step {
+    /// One admits units of a customer.
+    Admit(usize, u8, u8),
+    /// One writes to another what that one lacks, so many rows at the most; the message is kept.
+    Write(usize, usize, usize),
+    /// A kept message arrives at its receiver, or at another; it stays, to arrive again.
+    Arrive(usize, Option<usize>),
+    /// One dies and comes back under its name.
+    Restart(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..4usize, 0..3u8, 1..9u8).prop_map(|(at, who, units)| Step::Admit(at, who, units)),
+        4 => (0..4usize, 0..4usize, 1..5usize).prop_map(|(from, to, most)| Step::Write(from, to, most)),
+        4 => (0..64usize, proptest::option::of(0..4usize)).prop_map(|(n, to)| Step::Arrive(n, to)),
+        1 => (0..4usize).prop_map(Step::Restart),
+    ]
+}
+
+struct Fleet {
+    members: Vec<Replica>,
+    lives: Vec<u64>,
+    /// Units that each life admitted, by customer.
+    own: Vec<[f64; 3]>,
+    /// Units of all lives whose rows any survivor may hold.
+    messages: Vec<(usize, Piece)>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let members = (0..4).map(|n| Replica::new(origin(n, 1), Bounds::default())).collect();
+        Fleet { members, lives: vec![1; 4], own: vec![[0.0; 3]; 4], messages: Vec::new() }
+    }
+
+    fn play(&mut self, step: &Step) {
+        match *step {
+            Step::Admit(at, who, units) => {
+                let spent_now = &mut self.own[at][who as usize];
+                *spent_now += f64::from(units);
+                let said = Said::Units(*spent_now);
+                assert!(self.members[at].note(100.0, spent(who, 7), said, 30.0));
+            }
+            Step::Write(from, to, most) => {
+                let digest = self.members[to].digest();
+                let (pieces, _) = self.members[from].lacks(100.0, &digest, most);
+                self.messages.extend(pieces.into_iter().map(|piece| (to, piece)));
+            }
+            Step::Arrive(n, astray) => {
+                if let Some((to, piece)) = self.messages.get(n % self.messages.len().max(1)).cloned() {
+                    self.members[astray.unwrap_or(to)].merge(100.0, piece);
+                }
+            }
+            Step::Restart(at) => {
+                self.lives[at] += 1;
+                self.own[at] = [0.0; 3];
+                self.members[at] = Replica::new(origin(at, self.lives[at]), Bounds::default());
+            }
+        }
+    }
+
+    /// Links hold: each asks each, in small pieces, until nothing more comes.
+    fn heal(&mut self) {
+        for _ in 0..64 {
+            let mut news = 0;
+            for to in 0..4 {
+                for from in 0..4 {
+                    let digest = self.members[to].digest();
+                    let (pieces, _) = self.members[from].lacks(100.0, &digest, 3);
+                    for piece in pieces {
+                        let before = self.members[to].digest();
+                        self.members[to].merge(100.0, piece);
+                        news += usize::from(self.members[to].digest() != before);
+                    }
+                }
+            }
+            if news == 0 {
+                return;
+            }
+        }
+        panic!("it never comes to rest");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 192, ..ProptestConfig::default() })]
+
+    /// Whatever was lost, repeated, reordered or went astray: once links hold all copies are equal, and no unit that
+    /// a living one admitted is missing or counted twice.
+    #[test]
+    fn any_schedule_ends_in_equal_copies(steps in proptest::collection::vec(step(), 0..80)) {
+        let mut fleet = Fleet::new();
+        for step in &steps {
+            fleet.play(step);
+        }
+        fleet.heal();
+        let held = |member: &Replica| member.digest().into_iter().filter(|(_, upto)| *upto > 0).collect::<Digest>();
+        let digest = held(&fleet.members[0]);
+        for (at, member) in fleet.members.iter().enumerate() {
+            prop_assert_eq!(&held(member), &digest);
+            for who in 0..3 {
+                let all = member.spent_elsewhere(&customer(who), 7) + fleet.own[at][who as usize];
+                let first = fleet.members[0].spent_elsewhere(&customer(who), 7) + fleet.own[0][who as usize];
+                prop_assert_eq!(all, first);
+                let living: f64 = fleet.own.iter().map(|own| own[who as usize]).sum();
+                prop_assert!(all >= living, "{} of {}", all, living);
+            }
+        }
+    }
+
+    /// Never more than was admitted, at any moment and in any copy.
+    #[test]
+    fn no_copy_ever_tells_more_than_was_admitted(steps in proptest::collection::vec(step(), 0..80)) {
+        let mut fleet = Fleet::new();
+        let mut admitted = [0.0; 3];
+        for step in &steps {
+            if let Step::Admit(_, who, units) = step {
+                admitted[*who as usize] += f64::from(*units);
+            }
+            fleet.play(step);
+            for member in &fleet.members {
+                for who in 0..3 {
+                    prop_assert!(member.spent_elsewhere(&customer(who), 7) <= admitted[who as usize]);
+                }
+            }
+        }
+    }
+
+    /// Pieces in any order, any number of times: the same copy.
+    #[test]
+    fn merging_commutes_and_repeats_without_effect(
+        units in proptest::collection::vec((0..3u8, 1..9u8), 1..20),
+        order in proptest::collection::vec(0..64usize, 0..60),
+    ) {
+        let mut writer = Replica::new(origin(0, 1), Bounds::default());
+        let (mut own, mut pieces) = ([0.0; 3], Vec::new());
+        for (who, more) in &units {
+            own[*who as usize] += f64::from(*more);
+            writer.note(100.0, spent(*who, 7), Said::Units(own[*who as usize]), 30.0);
+            let from = pieces.iter().map(|p: &Piece| p.upto).max().unwrap_or(0);
+            let known = Digest::from([(origin(0, 1), from)]);
+            pieces.extend(writer.lacks(100.0, &known, 64).0);
+        }
+        let mut any = Replica::new(origin(1, 1), Bounds::default());
+        for n in &order {
+            any.merge(100.0, pieces[n % pieces.len()].clone());
+        }
+        let mut straight = any.clone();
+        for piece in &pieces {
+            straight.merge(100.0, piece.clone());
+        }
+        for piece in pieces.iter().rev().chain(&pieces).chain(pieces.iter().rev()) {
+            any.merge(100.0, piece.clone());
+        }
+        prop_assert_eq!(any.digest(), straight.digest());
+        for who in 0..3 {
+            prop_assert_eq!(any.spent_elsewhere(&customer(who), 7), own[who as usize]);
+            prop_assert_eq!(straight.spent_elsewhere(&customer(who), 7), own[who as usize]);
+        }
+    }
+
+    /// Rows, origins and what is remembered of the forgotten stay within their bounds, whatever comes.
+    #[test]
+    fn memory_is_bounded(
+        pieces in proptest::collection::vec((0..40usize, 1..4u64, 0..200u8, 0..9i64, 0.0..1e4f64), 0..300),
+    ) {
+        let bounds = Bounds { rows: 16, origins: 8, keep: 20.0, forget: 30.0 };
+        let mut replica = Replica::new(origin(0, 1), bounds);
+        for (n, (at, life, who, window, until)) in pieces.into_iter().enumerate() {
+            let now = n as f64;
+            let row = Row { key: spent(who, window), version: n as u64 + 1, until, said: Said::Units(1.0) };
+            let rows = vec![row];
+            replica.merge(now, Piece { origin: origin(at, life), from: 0, upto: n as u64 + 1, rows });
+            replica.note(now, spent(who, window), Said::Units(now), 1e9);
+            replica.sweep(now, &BTreeSet::new());
+            prop_assert!(replica.lag(now).count() <= bounds.origins + 1);
+            prop_assert!(replica.rows() <= (bounds.origins + 1) * bounds.rows);
+        }
+        replica.sweep(1e6, &BTreeSet::new());
+        prop_assert_eq!((replica.rows(), replica.lag(1e6).count()), (0, 1));
+    }
+}
+
+/// Garbage, half truths and rows in another's name change nothing that they do not prove.
+#[test]
+fn what_proves_nothing_changes_nothing() {
+    let mut replica = Replica::new(origin(0, 2), Bounds::default());
+    replica.note(100.0, spent(1, 7), Said::Units(3.0), 30.0);
+    let row = |version, until, said| Row { key: spent(1, 7), version, until, said };
+    let piece = |origin, from, upto, rows| Piece { origin, from, upto, rows };
+    let judged = Judged { started: 0.0, fails: 0.5, slow: 1.0, age: 0.0, at: 100.0 };
+    for (wrong, why) in [
+        (piece(origin(0, 2), 0, 9, vec![row(9, 120.0, Said::Units(8.0))]), "this life's own rows"),
+        (piece(origin(1, 1), 5, 4, vec![row(4, 120.0, Said::Units(8.0))]), "an end before its beginning"),
+        (piece(origin(1, 1), 0, 4, vec![row(5, 120.0, Said::Units(8.0))]), "a change after its end"),
+        (piece(origin(1, 1), 0, 4, vec![row(1, 120.0, Said::Units(f64::NAN))]), "no number"),
+        (piece(origin(1, 1), 0, 4, vec![row(1, 120.0, Said::Units(-1.0))]), "less than nothing"),
+        (piece(origin(1, 1), 0, 4, vec![row(1, f64::INFINITY, Said::Units(1.0))]), "no end"),
+        (piece(origin(1, 1), 0, 4, vec![row(1, 120.0, Said::Judged(judged))]), "a judgement of a customer"),
+    ] {
+        assert_eq!(replica.merge(100.0, wrong).refused, 1, "{why}");
+        assert_eq!(replica.spent_elsewhere(&customer(1), 7), 0.0, "{why}");
+        assert_eq!(replica.digest().get(&origin(1, 1)).copied().unwrap_or(0), 0, "{why}");
+    }
+    // A piece that runs ahead of what is here is left, and found again by the next digest.
+    let mut replica = Replica::new(origin(0, 2), Bounds::default());
+    assert_eq!(
+        replica.merge(100.0, piece(origin(1, 1), 5, 9, vec![row(8, 120.0, Said::Units(2.0))])).refused,
+        1
+    );
+    assert!(!replica.digest().contains_key(&origin(1, 1)));
+}
+
+/// A clock that is far ahead does not keep a row for longer than the bound.
+#[test]
+fn another_clock_is_trusted_no_further_than_the_bound() {
+    let mut replica = Replica::new(origin(0, 1), Bounds::default());
+    let row = Row { key: spent(1, 7), version: 1, until: 1e9, said: Said::Units(2.0) };
+    replica.merge(100.0, Piece { origin: origin(1, 1), from: 0, upto: 1, rows: vec![row] });
+    replica.sweep(100.0 + Bounds::default().keep - 1.0, &BTreeSet::new());
+    assert_eq!(replica.spent_elsewhere(&customer(1), 7), 2.0);
+    replica.sweep(100.0 + Bounds::default().keep + 1.0, &BTreeSet::new());
+    assert_eq!(replica.spent_elsewhere(&customer(1), 7), 0.0);
+}
+
+/// A gatekeeper that is back finds what its former self spent, on its own shelf, and a forgotten life stays forgotten.
+#[test]
+fn a_former_life_counts_until_it_is_forgotten() {
+    let bounds = Bounds::default();
+    let mut former = Replica::new(origin(0, 1), bounds);
+    former.note(100.0, spent(1, 7), Said::Units(5.0), 30.0);
+    former.note(100.0, Key::Drawn(customer(1)), Said::Units(4.0), 30.0);
+    let mut peer = Replica::new(origin(1, 1), bounds);
+    let (pieces, more) = former.lacks(100.0, &peer.digest(), 64);
+    assert!(!more);
+    for piece in pieces.clone() {
+        peer.merge(100.0, piece);
+    }
+    let mut back = Replica::new(origin(0, 2), bounds);
+    for piece in peer.lacks(101.0, &back.digest(), 64).0 {
+        back.merge(101.0, piece);
+    }
+    assert_eq!((back.spent_elsewhere(&customer(1), 7), back.drawn_before(&customer(1))), (5.0, 4.0));
+    assert_eq!(peer.drawn_before(&customer(1)), 0.0, "another's ceiling is that one's");
+    peer.sweep(100.0 + bounds.forget + 1.0, &BTreeSet::new());
+    for piece in pieces {
+        assert_eq!(peer.merge(100.0 + bounds.forget + 2.0, piece).taken, 0);
+    }
+    assert!(!peer.digest().contains_key(&origin(0, 1)));
+}
+
+/// Of judgements of a node the freshest stands, of two as fresh the more careful, and none of another life of it.
+#[test]
+fn the_freshest_judgement_of_this_life_stands() {
+    let mut replica = Replica::new(origin(0, 1), Bounds::default());
+    let node = HostId(Arc::from("n0"));
+    let mut say = |from: usize, started, fails, age, at| {
+        let said = Said::Judged(Judged { started, fails, slow: 1.0, age, at });
+        let row = Row { key: Key::Node(node.clone()), version: 1, until: 140.0, said };
+        replica.merge(100.0, Piece { origin: origin(from, 1), from: 0, upto: 1, rows: vec![row] });
+    };
+    say(1, 50.0, 0.9, 0.0, 99.0);
+    say(2, 80.0, 0.1, 5.0, 98.0);
+    say(3, 80.0, 0.2, 1.0, 98.0);
+    say(4, 80.0, 0.4, 1.0, 98.0);
+    let judged = replica.judged_elsewhere(100.0, &node, 80.0).map(|(j, age)| (j.fails, age));
+    assert_eq!(judged, Some((0.4, 3.0)));
+    assert_eq!(replica.judged_elsewhere(100.0, &node, 50.0).map(|(j, _)| j.fails), Some(0.9));
+    assert_eq!(replica.judged_elsewhere(100.0, &node, 90.0), None);
+}
--- a/src/gateway/interface.rs
+++ b/src/gateway/interface.rs
@@ -1,34 +1,9 @@
 //! What goes in and out of the decisions: settings, events, actions, ids. Nothing here decides.
 
+pub use crate::ground::{CountName, CustomerId, Ending, HostId, RequestId};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A request, as one gateway knows it; never used twice.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestId(pub Arc<str>);
-/// A host of the back end.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct HostId(pub Arc<str>);
-
-impl std::borrow::Borrow<str> for HostId {
-    fn borrow(&self) -> &str {
-        &self.0
-    }
-}
-
-impl std::borrow::Borrow<str> for CustomerId {
-    fn borrow(&self) -> &str {
-        &self.0
-    }
-}
-
-/// A customer, whose quota all gateways share.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CustomerId(pub Arc<str>);
-/// A count kept by the counter service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CountName(pub Arc<str>);
-
 /// How often a request of a class may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
@@ -198,34 +173,6 @@
     Unavailable,
 }
 
-/// How an attempt, a probe or a call to the counter ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ending {
-    /// Served.
-    Ok,
-    /// The host gave an error; it may have run.
-    Error,
-    /// Turned away unseen; it never ran.
-    Full,
-    /// No answer in time; it may have run.
-    Timeout,
-    /// No connection; it never ran.
-    ConnectFailed,
-    /// Connection broken; it may have run.
-    Reset,
-    /// Called off; it may have run.
-    Cancelled,
-    /// Never sent.
-    Moot,
-}
-
-impl Ending {
-    /// Does this ending prove that the attempt never ran?
-    pub fn never_ran(self) -> bool {
-        matches!(self, Ending::Full | Ending::ConnectFailed | Ending::Moot)
-    }
-}
-
 /// What a gateway hears.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/gateway/legacy.rs
+++ b/src/gateway/legacy.rs
@@ -2,10 +2,9 @@
 //! and from the state. It owns which part of the state outlives a process. It must never decide on a request, and
 //! never let two processes spend the same part of a hard ceiling.
 
-use crate::interface::HostId;
+use crate::gateway::state::{Customer, Flow, Gateway, Health, Host};
+use crate::ground::{CustomerId, HostId};
 use crate::quota::share::Share;
-use crate::state::{Customer, Flow, Gateway, Health};
-use crate::CustomerId;
 use std::sync::Arc;
 
 /// A rate that forgets: amount a second, and as of when (Unix time in seconds).
@@ -149,7 +148,7 @@
         });
         let customers = customers.collect();
         self.bequeathed = true;
-        let host = |(id, h): (&HostId, &crate::state::Host)| HostLegacy {
+        let host = |(id, h): (&HostId, &Host)| HostLegacy {
             id: id.0.to_string(),
             started: h.started,
             heard: h.heard,
--- a/src/gateway/retune.rs
+++ b/src/gateway/retune.rs
@@ -2,8 +2,8 @@
 //! the class and the number of attempts that they came under. It owns which records of the old settings live on. It
 //! must never decide on a request.
 
-use crate::interface::Settings;
-use crate::state::{sane_settings, Gateway};
+use crate::gateway::interface::Settings;
+use crate::gateway::state::{sane_settings, Gateway};
 
 /// The answers that a first guess at a class's latency counts for.
 const SEEN_PRIOR: f64 = 4.0;
--- a/src/gateway/rules.rs
+++ b/src/gateway/rules.rs
@@ -1,9 +1,9 @@
-//! All decisions of whinstall. The types it speaks in (settings, events, actions) are in `src/interface.rs`.
+//! All decisions of whinstall. The types it speaks in (settings, events, actions) are in `interface.rs` beside it.
 //!
 //! Constants with their reasons, 1 quota, 2 open cap, 3 ceiling, 4 hosts, 5 attempts, 6 overload, the events.
-use crate::interface::*;
+use crate::gateway::state::*;
+use crate::gateway::{copies::*, interface::*};
 use crate::quota::Verdict;
-use crate::state::*;
 use std::cmp::Reverse;
 use std::time::Duration;
 
@@ -47,7 +47,6 @@
 const TABLE_S: f64 = 0.5; // the weights that candidates are drawn by are kept so long
 const SUBSET_HOSTS: f64 = 10.0; // a gateway draws from so many hosts at least: some outlive a lost zone...
 const SUBSET_SHARED: f64 = 20.0; // ...and from so many that so many gateways share each: none weighs much
-const GOLDEN: f64 = 0.618_033_988_749_894_9;
 const SLOW_FADE: f64 = 8.0; // what is known of a host's slowness fades so, and it is tried again
 const CROSS_AT: f64 = 1.5; // where crossing zones is charged it must promise to be so many times quicker
 const FLOW_S: f64 = 1.5; // time constant of the rates of work sent and done
@@ -93,7 +92,7 @@
     // 1. Quota: each request is charged its cost against its customer's global window total.
 
     /// Window length: about burst over rate, the same at every gateway.
-    fn window_s(plan: &Plan) -> f64 {
+    pub(crate) fn window_s(plan: &Plan) -> f64 {
         (plan.burst / plan.rate).clamp(0.5, 20.0)
     }
 
@@ -124,7 +123,7 @@
                 self.untold.add(now, c.unsynced.max(0.0) * (1.0 - self.misses), ASKED_S);
                 c.store = (c.store + plan.rate * turns - spent).clamp(-plan.burst, plan.burst);
                 (c.window, c.total, c.sync_at) = (window, None, f64::INFINITY);
-                (c.unsynced, c.calling, c.own) = (0.0, 0.0, 0.0);
+                (c.unsynced, c.calling, c.own, c.elsewhere, c.former) = (0.0, 0.0, 0.0, 0.0, 0.0);
             }
         }
         let open_window = (now / OPEN_WINDOW + c.phase).floor() as i64;
@@ -902,7 +901,7 @@
         let before = (phase_of(self.started.unwrap_or(now)) - window).max(0.0) * Self::window_s(p);
         let c = self.customers.entry(customer.clone()).or_insert_with(|| Customer {
             window: window as i64,
-            store: p.burst - p.rate * before,
+            store: p.burst - p.rate * before - owed(&self.told_elsewhere, customer, window as i64, p),
             ceiling: -p.tolerance / width,
             ceiling_at: self.started.unwrap_or(now),
             ..Customer::new(plan, width, phase)
@@ -911,6 +910,7 @@
         c.seen = now;
         (c.plan, c.width) = (plan, c.width.max(width));
         self.turn(customer);
+        self.look_up(customer);
         if limited && units > max_cost {
             return Err(0.0);
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! Plain records of what a gateway knows: customers, hosts, requests. Nothing here decides.
 
-use crate::interface::*;
+use crate::gateway::interface::*;
+pub(crate) use crate::ground::{hash, GOLDEN};
 use crate::quota::share::Share;
 use crate::quota::{Guard, QuotaSettings, Report};
 use std::cmp::Reverse;
@@ -40,6 +41,10 @@
     pub(crate) calling: f64,
     /// All charges of this gateway in the window.
     pub(crate) own: f64,
+    /// Units that other gateways are known to have charged in the window, by copies of their books.
+    pub(crate) elsewhere: f64,
+    /// Units of the above charges of this gateway that a former life of it made, by the same.
+    pub(crate) former: f64,
     /// Units that the window started with: what the earlier ones left or owe.
     pub(crate) store: f64,
     /// What its share of the quota is taken to be here, where no total tells.
@@ -241,6 +246,8 @@
     pub(crate) copies: BinaryHeap<Reverse<(u64, RequestId)>>,
     /// The customers it knows.
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    /// What other gateways, and former lives of this one, are known to have charged, by customer and window.
+    pub(crate) told_elsewhere: BTreeMap<(CustomerId, i64), (f64, f64)>,
     /// What of the counter's answers may be gone by, and when it may be called.
     pub(crate) guard: Guard,
     /// Calls not answered yet, by count.
@@ -322,6 +329,7 @@
             due: Default::default(),
             copies: Default::default(),
             customers: Default::default(),
+            told_elsewhere: Default::default(),
             guard: Guard::new(QuotaSettings::default(), unit),
             calls: Default::default(),
             pace: Default::default(),
@@ -384,11 +392,6 @@
     Some(x).filter(|x| x.is_finite()).map_or(0.0, |x| x.clamp(0.0, 1e12))
 }
 
-/// FNV-1a: the same at every gateway, for count names and window phases.
-pub(crate) fn hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 /// Short names carry the customer, long ones its hash: a name holds 64 bytes.
 pub(crate) fn count_name(kind: char, id: &CustomerId, window: i64) -> CountName {
     let key: &str = &id.0;
@@ -426,9 +429,9 @@
     pub(crate) fn guess(&self, plan: &Plan, own: f64, span: f64, now: f64) -> f64 {
         self.share.guess(plan.rate, self.part(plan), own, span, now)
     }
-    /// Units known to be spent in this window.
+    /// Units known to be spent in this window: where the counter's total and the copies differ, the larger.
     pub(crate) fn spent(&self) -> f64 {
-        (self.total.unwrap_or(0.0) + self.calling + self.unsynced).max(self.own)
+        (self.total.unwrap_or(0.0) + self.calling + self.unsynced).max(self.own + self.elsewhere)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,17 +84,13 @@
 #![warn(missing_docs)]
 
 pub mod config;
+pub mod fleet;
+mod gateway;
+pub mod ground;
 pub mod halls;
-mod interface;
-mod legacy;
 pub mod operators;
 pub mod quota;
-mod retune;
-mod rules;
 #[cfg(feature = "adapter")]
 pub mod settings;
-mod state;
 
-pub use interface::*;
-pub use legacy::{CustomerLegacy, HostLegacy, Legacy};
-pub use state::Gateway;
+pub use gateway::*;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,6 @@
 //! The gatekeeper: reads its configuration, joins the core and the sockets, reads it again on SIGHUP and
 //! drains on SIGTERM. It must never
-//! decide on a request; that is the module's, in `src/rules.rs`.
+//! decide on a request; that is the module's, in `src/gateway/rules.rs`.
 
 mod net;
 
@@ -19,6 +19,7 @@
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
+use whinstall::fleet::FleetSettings;
 use whinstall::halls::HallSettings;
 use whinstall::operators::Operators;
 use whinstall::quota::QuotaSettings;
@@ -175,11 +176,16 @@
     in_force: Value,
     (c, s, sockets): Told,
     halls: HallsFrom,
-    quota: QuotaSettings,
+    (quota, fleet): (QuotaSettings, Option<FleetSettings>),
 ) -> Result<(), String> {
     let fixed = c.fixed();
     let seed = u64::from_str_radix(&c.seed, 16).map_err(|e| format!("seed: {e}"))?;
     let door = operator_place(&c)?;
+    if door.is_some() && fleet.is_some() {
+        return Err(
+            "--fleet: processes that follow each other (operator) would count twice what both know".into()
+        );
+    }
     // Processes follow each other only where operators run them so: anywhere else no such socket is made.
     let place = door.and_then(|_| takeover::place(&c.name));
     let (predecessor, listener) = match place.as_deref().and_then(takeover::ask) {
@@ -247,6 +253,15 @@
         core = core.with_halls(net::halls::HallsDesk::new(settings, &zone, ordinal, replicas, clock.now()));
     }
     let mut core = actix_rt::spawn(core.run(inputs));
+    if let Some(settings) = fleet {
+        let at = settings.listen;
+        let listener = tokio::net::TcpListener::bind(at).await.map_err(|e| format!("fleet: {at}: {e}"))?;
+        let at = listener.local_addr().map_err(|e| format!("fleet: {at}: {e}"))?;
+        tracing::info!(fleet = %at, peers = settings.peers.len(), "copies are kept with other gatekeepers");
+        let fleet = net::fleet::Fleet::new(settings, &c.name, seed, clock, queue.clone());
+        actix_rt::spawn(Rc::clone(&fleet).listen(listener));
+        actix_rt::spawn(fleet.rounds());
+    }
     tracing::info!(name = c.name, %listen, "serving");
 
     let desk = Desk { frontend, nodes, counter, queue, whole };
@@ -408,6 +423,9 @@
     /// Settings of the counter's guard (as `deploy/quota.cue`). Without it, its defaults. Read at the start.
     #[arg(long, global = true, value_name = "FILE")]
     quota: Option<std::path::PathBuf>,
+    /// Settings of the copies among gatekeepers (docs/replication.md). Without it none talks to another.
+    #[arg(long, global = true, value_name = "FILE")]
+    fleet: Option<std::path::PathBuf>,
 }
 
 /// Reads an operators' file, or says in one line what is wrong.
@@ -432,6 +450,11 @@
     operators_from(file)?.counter.ok_or_else(|| format!("{}: no `counter` record", file.display()))
 }
 
+/// Reads the settings of the copies from an operators' file.
+fn fleet_from(file: &Path) -> Result<FleetSettings, String> {
+    operators_from(file)?.fleet.ok_or_else(|| format!("{}: no `fleet` record", file.display()))
+}
+
 #[derive(clap::Subcommand)]
 enum Command {
     /// Serve, by the configuration that ROUTER_CONFIG names (the default).
@@ -501,15 +524,22 @@
     tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
     let halls = cli.halls.as_deref().map(halls_from).transpose();
     let quota = cli.quota.as_deref().map(quota_from).transpose();
-    let operators = halls.and_then(|halls| quota.map(|quota| (halls, quota)));
+    let fleet = cli.fleet.as_deref().map(fleet_from).transpose();
+    let operators = halls.and_then(|halls| Ok((halls, quota?, fleet?)));
     let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_owned());
     let told = operators.and_then(|operators| {
         let path = path?;
         configuration(&path).map(|told| (path, told, operators))
     });
-    let served = told.and_then(|(path, (in_force, told), (halls, quota))| {
+    let served = told.and_then(|(path, (in_force, told), (halls, quota, fleet))| {
         let halls = halls.map(|settings| (cli.halls.clone().unwrap_or_default(), settings));
-        actix_rt::System::new().block_on(serve(path, in_force, told, halls, quota.unwrap_or_default()))
+        actix_rt::System::new().block_on(serve(
+            path,
+            in_force,
+            told,
+            halls,
+            (quota.unwrap_or_default(), fleet),
+        ))
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod dispatch;
 pub mod ending;
 pub mod exchange;
+pub mod fleet;
 pub mod frontend;
 pub mod halls;
 pub mod operator;
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -2,6 +2,7 @@
 //! one loader. It owns the list of records only; a record that no subsystem knows is an error.
 
 use crate::config::{self, ConfigError};
+use crate::fleet::FleetSettings;
 use crate::halls::HallSettings;
 use crate::quota::QuotaSettings;
 
@@ -12,6 +13,8 @@
     pub halls: Option<HallSettings>,
     /// The record `counter`.
     pub counter: Option<QuotaSettings>,
+    /// The record `fleet`.
+    pub fleet: Option<FleetSettings>,
 }
 
 impl Operators {
@@ -20,6 +23,7 @@
         config::load(text, |top| Operators {
             halls: HallSettings::read(top),
             counter: QuotaSettings::read(top),
+            fleet: FleetSettings::read(top),
         })
     }
 
@@ -33,7 +37,11 @@
             Some(counter) => counter.describe(),
             None => format!("counter by default: {}", QuotaSettings::default().describe()),
         };
-        halls + &counter
+        let fleet = match &self.fleet {
+            Some(fleet) => fleet.describe(),
+            None => "no fleet: no gatekeeper talks to another\n".into(),
+        };
+        halls + &counter + &fleet
     }
 }
 
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -15,7 +15,7 @@
 pub use mode::Mode;
 pub use settings::QuotaSettings;
 
-use crate::interface::{CountName, CustomerId, Ending};
+use crate::ground::{hash, CountName, CustomerId, Ending, GOLDEN};
 use breaker::Breaker;
 use line::{Line, Proof};
 use mode::{Came, Evidence};
@@ -115,7 +115,6 @@
     unit: f64,
 }
 
-const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// Answers within this part of the wait on the mean are prompt...
 const PROMPT_PART: f64 = 0.25;
 /// ...and tell for so long, in seconds.
@@ -148,7 +147,7 @@
 
     /// A name's key in its part's evidence, and that part.
     fn place(&self, name: &CountName) -> (u64, usize) {
-        let key = crate::state::hash(&name.0);
+        let key = hash(&name.0);
         (key, (key % self.parts.len() as u64) as usize)
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,7 +2,7 @@
 //! configuration file: the only place that knows its keys and units. It must never decide anything, and keys
 //! that it does not know are skipped, as sites add some.
 
-use crate::interface::*;
+use crate::gateway::*;
 use serde::Deserialize;
 use serde_json::Value;
 use std::time::Duration;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -93,15 +93,29 @@
 
     /// Starts it with this `$TMPDIR`, this configuration and these words on its command line.
     pub fn start_in(directory: &Path, configuration: &str, args: &[&str]) -> Gatekeeper {
+        Gatekeeper::start_told(directory, configuration, args).0
+    }
+
+    /// Starts it with this configuration and these words; returns what it logged before it served, too.
+    pub fn start_logged(configuration: &str, args: &[&str]) -> (Gatekeeper, Vec<String>) {
+        Gatekeeper::start_told(&directory(), configuration, args)
+    }
+
+    fn start_told(directory: &Path, configuration: &str, args: &[&str]) -> (Gatekeeper, Vec<String>) {
         let path = Gatekeeper::file(configuration);
         let mut child = Gatekeeper::run(directory, &path, args);
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
-        let line = lines.by_ref().find(|l| l.contains("serving name=")).expect("it says where it serves");
+        let mut before = Vec::new();
+        let line = lines.by_ref().find(|l| {
+            before.push(l.clone());
+            l.contains("serving name=")
+        });
+        let line = line.expect("it says where it serves");
         let address = line.split("listen=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
         // Its log is read to the end: a full pipe would hold it up.
         let (tell, log) = channel();
         std::thread::spawn(move || lines.for_each(|line| drop(tell.send(line))));
-        Gatekeeper { child, address, path, log }
+        (Gatekeeper { child, address, path, log }, before)
     }
 
     /// Starts the program with this configuration.
