--- a/src/gateway/rules.rs
+++ b/src/gateway/rules.rs
@@ -1,4 +1,4 @@
-//! All decisions of whinstall. The types it speaks in (settings, events, actions) are in `interface.rs` beside it.
+//! All decisions of whinstall. The types it speaks in (settings, events, actions) are in `interface.rs`.
 //!
 //! Constants with their reasons, 1 quota, 2 open cap, 3 ceiling, 4 hosts, 5 attempts, 6 overload, the events.
 use crate::gateway::state::*;
