Pass on an origin's changes whole: divided, copies could differ for good

Cause: on reading the change again the tests were run once more, and any_schedule_ends_in_equal_copies failed on a case not drawn before: a piece cut inside one origin's changes said that all up to its end was there, while a row that had changed again lay behind the cut; with the origin dead there, another copy kept a unit that this one never got. Change: lacks() never divides an origin, and a shelf holds 400 rows at the most, which one message carries.

From the same reading, no behaviour changed: a class's first guess is made in one place (retune.rs had its own), GOLDEN is used where its digits stood in net/halls.rs, Message.more was read by nobody, two comments were wrong.

--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -95,7 +95,7 @@
 /// Bounds of a replica.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
-    /// Rows of one origin at the most.
+    /// Rows of one origin at the most: one message holds them all.
     pub rows: usize,
     /// Origins at the most, beside this one.
     pub origins: usize,
@@ -107,7 +107,7 @@
 
 impl Default for Bounds {
     fn default() -> Self {
-        Bounds { rows: 8192, origins: 1024, keep: 60.0, forget: 600.0 }
+        Bounds { rows: 400, origins: 1024, keep: 60.0, forget: 600.0 }
     }
 }
 
@@ -208,8 +208,10 @@
         self.shelves.iter().map(|(origin, shelf)| (origin.clone(), shelf.upto)).collect()
     }
 
-    /// What one who holds `theirs` lacks, of `most` rows in all at the most, and whether more is left: what is cut off
-    /// is found again by the next digest, so that a cut between two pieces loses nothing.
+    /// What one who holds `theirs` lacks, and whether more is left: of `most` rows in all at the most, but always all
+    /// changes of one origin. What is left is found again by the next digest, so that a cut between two messages loses
+    /// nothing. Changes of one origin are never divided: a row that changed again has moved behind the division, and
+    /// the first part would pass for whole without it, for good if the origin dies there.
     pub fn lacks(&self, now: f64, theirs: &Digest, most: usize) -> (Vec<Piece>, bool) {
         let (mut pieces, mut room) = (Vec::new(), most);
         for (origin, shelf) in &self.shelves {
@@ -217,20 +219,13 @@
             if from >= shelf.upto {
                 continue;
             }
-            if room == 0 {
-                return (pieces, true);
-            }
             let after = shelf.order.range(from + 1..).map(|(_, key)| &shelf.rows[key]);
-            let mut rows: Vec<Row> = after.take(room + 1).cloned().collect();
-            let cut = rows.len() > room;
-            rows.truncate(room);
-            room -= rows.len();
-            let upto = if cut { rows.last().map_or(from, |row| row.version) } else { shelf.upto };
-            rows.retain(|row| row.until > now);
-            pieces.push(Piece { origin: origin.clone(), from, upto, rows });
-            if cut {
+            let rows: Vec<Row> = after.filter(|row| row.until > now).cloned().collect();
+            if rows.len() > room && !pieces.is_empty() {
                 return (pieces, true);
             }
+            room = room.saturating_sub(rows.len());
+            pieces.push(Piece { origin: origin.clone(), from, upto: shelf.upto, rows });
         }
         (pieces, false)
     }
--- a/src/gateway/retune.rs
+++ b/src/gateway/retune.rs
@@ -3,13 +3,9 @@
 //! must never decide on a request.
 
 use crate::gateway::interface::Settings;
+use crate::gateway::rules::SEEN_PRIOR;
 use crate::gateway::state::{sane_settings, Gateway};
 
-/// The answers that a first guess at a class's latency counts for.
-const SEEN_PRIOR: f64 = 4.0;
-/// A first guess at a class's latency, as a part of its aim.
-const SEEN_PART: f64 = 0.2;
-
 impl Gateway {
     /// Goes by these settings from now on, for all that comes. Classes are told apart by index: one that goes or
     /// differs keeps its place for the requests that are open, and its successor gets a new one.
@@ -31,8 +27,7 @@
                 continue;
             }
             let before = s.classes.iter().rposition(|c| c.name == class.name);
-            let guess = (class.aim.as_secs_f64().max(0.01) * SEEN_PART, 2.0, SEEN_PRIOR);
-            self.seen.push(before.map_or(guess, |index| self.seen[index]));
+            self.seen.push(before.map_or(class.first_guess(SEEN_PRIOR), |index| self.seen[index]));
             s.classes.push(class);
         }
         let plans = std::mem::take(&mut s.plans);
--- a/src/gateway/rules.rs
+++ b/src/gateway/rules.rs
@@ -65,7 +65,7 @@
 const SPARE_OUT: f64 = 1.5; // under so many attempts out a host, over all gateways, there is work to spare
 const DONE_S: f64 = 4.0; // time constant of the answers a second: some ten, also where one gateway sees few
 const SEEN_ALPHA: f64 = 0.02; // least weight of the newest answer in a class's latency and units...
-const SEEN_PRIOR: f64 = 4.0; // ...as the first guess at them counts for no more than so many answers
+pub(crate) const SEEN_PRIOR: f64 = 4.0; // ...as the first guess counts for no more than so many answers
 const THIN: f64 = 0.25; // answers a second at the mean latency mixed in: none at all are no sign of press
 const QUEUE_ALPHA: f64 = 0.1; // least weight of the newest request's sight of the attempts out
 const TICK: f64 = 0.01; // what is due is done in steps of this: timers cost, too
@@ -777,7 +777,7 @@
         let aim = s.classes.iter().map(|c| c.aim).max().unwrap_or(Duration::from_secs(1));
         let (name, gain, late_worth, key_window) = (String::new(), 1.0, 0.0, Duration::ZERO);
         s.classes.push(Class { name, aim, gain, late_worth, idempotency: Idempotency::Once, key_window });
-        let seen = s.classes.iter().map(|c| (c.aim.as_secs_f64().max(0.01) / 5.0, 2.0, SEEN_PRIOR)).collect();
+        let seen = s.classes.iter().map(|c| c.first_guess(SEEN_PRIOR)).collect();
         Gateway {
             seen,
             pace: PACE_FIRST / f64::from(s.replicas),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -450,6 +450,13 @@
     }
 }
 
+impl Class {
+    /// Mean latency and mean units before any answer, which count for so many answers.
+    pub(crate) fn first_guess(&self, prior: f64) -> (f64, f64, f64) {
+        (self.aim.as_secs_f64().max(0.01) / 5.0, 2.0, prior)
+    }
+}
+
 impl Settings {
     /// The class of this name, by index: the newest, where one was changed; one without a name stands for all that
     /// are not known.
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -45,8 +45,6 @@
     from: Origin,
     digest: Digest,
     pieces: Vec<Piece>,
-    /// Is more left than these pieces hold?
-    more: bool,
 }
 
 /// What is held, and with whom it is kept.
@@ -97,10 +95,10 @@
 
     fn message(&self, theirs: Option<&Digest>) -> Bytes {
         let replica = self.replica.borrow();
-        let (pieces, more) =
-            theirs.map_or((Vec::new(), false), |t| replica.lacks(self.now(), t, self.settings.rows as usize));
+        let rows = self.settings.rows as usize;
+        let pieces = theirs.map_or(Vec::new(), |t| replica.lacks(self.now(), t, rows).0);
         let (cluster, from) = (self.settings.cluster.clone(), self.me.clone());
-        let message = Message { version: VERSION, cluster, from, digest: replica.digest(), pieces, more };
+        let message = Message { version: VERSION, cluster, from, digest: replica.digest(), pieces };
         let mut out = Vec::new();
         match ciborium::into_writer(&message, &mut out) {
             Ok(()) => out.into(),
@@ -185,7 +183,7 @@
         }
     }
 
-    /// Asks one peer, again while either has more to send.
+    /// Asks one peer. What a message had no room for goes with a later round's.
     async fn ask(self: Rc<Self>, at: SocketAddr) {
         let within = Duration::from_secs_f64(self.settings.round * ROUNDS_TO_ANSWER).max(ANSWER_LEAST);
         let peer = Peer { name: at.to_string().into(), address: at };
--- a/src/net/halls.rs
+++ b/src/net/halls.rs
@@ -46,7 +46,7 @@
     /// Halls by these settings, for a gatekeeper of this zone, number and fleet size.
     pub fn new(settings: HallSettings, zone: &str, ordinal: u32, replicas: u32, now: Duration) -> Self {
         // Each gatekeeper's own place in its ramp's jitter, evenly spread by golden steps.
-        let unit = (f64::from(ordinal) * 0.618_033_988_749_894_9).fract();
+        let unit = (f64::from(ordinal) * whinstall::ground::GOLDEN).fract();
         let (silence, node_rate) = (settings.notice, settings.node_rate);
         HallsDesk {
             halls: Halls::new(settings, zone, unit, now.as_secs_f64()),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Asks until the member has denied three in a row; returns how many it served.
+    /// Asks until the member has denied six in a row; returns how many it served.
     fn spend(&self, n: usize, who: u32) -> usize {
         let mut client = self.members[n].connect();
         let (mut served, mut denied, mut asked) = (0, 0, 0);
