--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 
 mod budgets;
 mod copies;
+mod external;
 mod interface;
 mod legacy;
 mod retune;
--- /dev/null
+++ b/toolroom/src/anvil.rs
@@ -0,0 +1,289 @@
+//! The driver of the core role: sockets, disk and clock around the state machine in `core`. It must never decide
+//! anything.
+
+use crate::config::read_call;
+use crate::core::{fault, Command, Conn, Core, Effect, Event, TICK};
+use crate::http::{self, Bounds, Connection, HttpError};
+use crate::link::{self, Happens};
+use crate::paths::{At, PathError};
+use crate::registry::{Phase, Worker};
+use crate::settings::Settings;
+use crate::store::{Held, Put, Store};
+use crate::wire::Msg;
+use actix_http::{Method, Request, StatusCode};
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::mpsc as blocking;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::oneshot;
+
+/// Bounds on calls of workers and operators.
+const BOUNDS: Bounds = Bounds {
+    head_bytes: 16 * 1024,
+    body_bytes: 16 * 1024 * 1024,
+    head_within: Duration::from_secs(3),
+    body_within: Duration::from_secs(10),
+};
+/// A caller's connection may be idle for this long.
+const IDLE: Duration = Duration::from_secs(30);
+/// After SIGTERM calls under way are answered, for so long at the most.
+const END_WITHIN: Duration = Duration::from_millis(900);
+
+type Queue = UnboundedSender<Msg>;
+
+struct Anvil {
+    core: RefCell<Core>,
+    clock: crate::Clock,
+    links: RefCell<HashMap<IpAddr, Queue>>,
+    conns: RefCell<HashMap<Conn, Queue>>,
+    calls: RefCell<HashMap<u64, oneshot::Sender<(u16, Value)>>>,
+    disk: RefCell<Option<blocking::Sender<Put>>>,
+    next: Cell<u64>,
+    port: u16,
+}
+
+impl Anvil {
+    fn handle(self: &Rc<Self>, event: Event) {
+        let mut out = Vec::new();
+        self.core.borrow_mut().handle(self.clock.now(), event, &mut out);
+        self.carry_out(out);
+    }
+
+    fn carry_out(self: &Rc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Connect(ip) => self.connect(ip),
+                Effect::Send(ip, msg) => {
+                    if let Some(queue) = self.links.borrow().get(&ip) {
+                        let _ = queue.send(msg);
+                    }
+                }
+                Effect::Return(conn, msg) => {
+                    if let Some(queue) = self.conns.borrow().get(&conn) {
+                        let _ = queue.send(msg);
+                    }
+                }
+                Effect::Reply(call, status, body) => {
+                    if let Some(reply) = self.calls.borrow_mut().remove(&call) {
+                        let _ = reply.send((status, body));
+                    }
+                }
+                Effect::Persist(number, items, members) => {
+                    if let Some(disk) = &*self.disk.borrow() {
+                        let _ = disk.send(Put { number, items, members });
+                    }
+                }
+            }
+        }
+    }
+
+    fn connect(self: &Rc<Self>, ip: IpAddr) {
+        if self.links.borrow().contains_key(&ip) {
+            return;
+        }
+        let (queue, outgoing) = unbounded_channel();
+        self.links.borrow_mut().insert(ip, queue);
+        let this = Rc::clone(self);
+        let address = SocketAddr::new(ip, self.port);
+        tokio::task::spawn_local(link::keep(address, outgoing, move |happens| {
+            this.handle(match happens {
+                Happens::Up => Event::LinkUp(ip),
+                Happens::Said(msg) => Event::Peer(ip, msg),
+                Happens::Down => Event::LinkDown(ip),
+            });
+        }));
+    }
+
+    /// Serves a caller's connection.
+    async fn converse(self: Rc<Self>, mut connection: Connection) {
+        loop {
+            match tokio::time::timeout(IDLE, connection.first()).await {
+                Ok(Ok(())) => {}
+                _ => return,
+            }
+            let (response, body) = match connection.request(&BOUNDS).await {
+                Ok(whole) => self.answer(&whole.head, whole.body.unwrap_or_default()).await,
+                Err(HttpError::Gone) => return,
+                Err(HttpError::Rejected(status, why)) => {
+                    let (mut response, body) = http::plain(status, why);
+                    response.force_close();
+                    (response, body)
+                }
+            };
+            if !matches!(connection.answer(response, body).await, Ok(true)) {
+                return;
+            }
+        }
+    }
+
+    async fn answer(
+        self: &Rc<Self>,
+        head: &Request,
+        body: bytes::Bytes,
+    ) -> (actix_http::ResponseBuilder, bytes::Bytes) {
+        let command = match command(head, &body) {
+            Ok(Some(command)) => command,
+            Ok(None) => return http::plain(StatusCode::NOT_FOUND, "no such call"),
+            Err(error) => {
+                tracing::warn!(error, path = head.path(), "refused a call");
+                return http::json(400, &fault(error));
+            }
+        };
+        let call = self.next.get();
+        self.next.set(call + 1);
+        let (reply, answer) = oneshot::channel();
+        self.calls.borrow_mut().insert(call, reply);
+        self.handle(Event::Call(call, command));
+        match answer.await {
+            Ok((status, body)) => http::json(status, &body),
+            Err(_) => http::json(503, &fault("ending")),
+        }
+    }
+}
+
+/// The command that a call stands for; `None`: there is no such call.
+fn command(head: &Request, body: &[u8]) -> Result<Option<Command>, String> {
+    if http::is(head, Method::POST, "/whinstall/configuration/amend") {
+        return read_call(body).map(|items| Some(Command::Amend(items))).map_err(|e| e.to_string());
+    }
+    if http::is(head, Method::GET, "/whinstall/configuration/read") {
+        return Ok(Some(Command::Read));
+    }
+    let Some(rest) = head.path().strip_prefix("/whinstall/instances/") else { return Ok(None) };
+    match rest.rsplit_once('/') {
+        Some((id, "heartbeat")) if head.method() == Method::POST => {
+            let value = crate::paths::parse(body).map_err(|e| e.to_string())?;
+            beat(id, &At::root(&value)).map(|w| Some(Command::Beat(w))).map_err(|e| e.to_string())
+        }
+        Some((id, "departure")) if head.method() == Method::POST => Ok(Some(Command::Departure(id.into()))),
+        _ => Ok(None),
+    }
+}
+
+fn beat(id: &str, at: &At) -> Result<Worker, PathError> {
+    let address = at.need("address")?;
+    let socket = address.text()?.parse();
+    let phase = at.need("phase")?;
+    Ok(Worker {
+        id: id.into(),
+        service: at.need("service_ref")?.name()?.into(),
+        address: socket.map_err(|_| PathError::Not(address.path(), "an address such as 10.0.0.1:80"))?,
+        zone: at.need("zone_name")?.text()?.into(),
+        capacity: at.get("capacity").map(|c| c.amount()).transpose()?.map_or(1, |c| c as u32),
+        phase: match phase.text()? {
+            "settled" => Phase::Settled,
+            "decaying" => Phase::Decaying,
+            _ => return Err(PathError::Not(phase.path(), "settled or decaying")),
+        },
+        warmup_ms: at.get("warmup_left").map(|t| t.time()).transpose()?.map_or(0, |t| t.as_millis() as u32),
+        calls: at.need("call_count")?.amount()? as u64,
+    })
+}
+
+/// Runs the core role until it is asked to end.
+pub async fn run(settings: Settings) -> Result<(), crate::RunError> {
+    let clock = crate::Clock::new();
+    let control = settings.control.ok_or(crate::RunError::NotTold("network.endpoints.control_port"))?;
+    let (store, held) = match &settings.data {
+        Some(folder) => Store::open(folder).map(|(s, h)| (Some(s), h)).map_err(crate::RunError::Store)?,
+        None => (None, Held::default()),
+    };
+    let wiped = !held.begun && !settings.cold_start;
+    tracing::info!(
+        node = settings.node,
+        items = held.items.len(),
+        members = held.members.len(),
+        wiped,
+        cold_start = settings.cold_start,
+        "core role starts"
+    );
+    let (port, ip) = (settings.inner_port, settings.ip);
+    let core = Core::new(clock.now(), settings, held.items, held.members, wiped);
+    let anvil = Rc::new(Anvil {
+        core: RefCell::new(core),
+        clock,
+        links: RefCell::default(),
+        conns: RefCell::default(),
+        calls: RefCell::default(),
+        disk: RefCell::default(),
+        next: Cell::new(1),
+        port,
+    });
+    let (synced, mut syncs) = unbounded_channel();
+    *anvil.disk.borrow_mut() = store.map(|store| {
+        store.serve(move |number| {
+            let _ = synced.send(number);
+        })
+    });
+    let inner = TcpListener::bind((ip, port)).await.map_err(crate::RunError::Listen)?;
+    let control = TcpListener::bind(control).await.map_err(crate::RunError::Listen)?;
+    let mut out = Vec::new();
+    anvil.core.borrow_mut().start(&mut out);
+    anvil.carry_out(out);
+    let (opening, closing) = (Rc::clone(&anvil), Rc::clone(&anvil));
+    tokio::task::spawn_local(link::listen(
+        inner,
+        move |conn| {
+            let (queue, outgoing) = unbounded_channel();
+            opening.conns.borrow_mut().insert(conn, queue);
+            outgoing
+        },
+        move |conn, happens| match happens {
+            Happens::Said(msg) => closing.handle(Event::Inbound(conn, msg)),
+            Happens::Down => {
+                closing.conns.borrow_mut().remove(&conn);
+                closing.handle(Event::Closed(conn));
+            }
+            Happens::Up => {}
+        },
+    ));
+    let serving = Rc::clone(&anvil);
+    tokio::task::spawn_local(async move {
+        let config = http::config();
+        loop {
+            match control.accept().await {
+                Ok((stream, _)) => {
+                    let connection = Connection::new(stream, &config);
+                    tokio::task::spawn_local(Rc::clone(&serving).converse(connection));
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    });
+    let mut ticks = tokio::time::interval(Duration::from_secs_f64(TICK));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut signals = crate::Signals::new().map_err(crate::RunError::Signals)?;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => anvil.handle(Event::Tick),
+            Some(number) = syncs.recv() => anvil.handle(Event::Disk(number)),
+            signal = signals.next() => match signal {
+                crate::Signal::Reread(settings) => {
+                    let mut out = Vec::new();
+                    anvil.core.borrow_mut().retune(*settings, &mut out);
+                    anvil.carry_out(out);
+                }
+                crate::Signal::End => break,
+            },
+        }
+    }
+    tracing::info!("core role ends");
+    anvil.handle(Event::Ending);
+    let _ = tokio::time::timeout(END_WITHIN, async {
+        while !anvil.calls.borrow().is_empty() {
+            tokio::select! {
+                _ = ticks.tick() => anvil.handle(Event::Tick),
+                Some(number) = syncs.recv() => anvil.handle(Event::Disk(number)),
+            }
+        }
+        // What was just said goes out.
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    })
+    .await;
+    Ok(())
+}
--- /dev/null
+++ b/toolroom/src/budget.rs
@@ -0,0 +1,54 @@
+//! Owns the budget of further tries at one gatekeeper: in every window, over all gatekeepers together, a service gets
+//! no more arrivals beyond the first of each request than a ratio of its requests and a slack. Pure; time is passed
+//! in. It must never spend slack before it was told how many gatekeepers there are.
+
+use std::collections::VecDeque;
+
+/// What it goes by, from the settings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Further tries per request.
+    pub ratio: f64,
+    /// Over so many seconds.
+    pub window: f64,
+    /// Further tries beyond, over all gatekeepers.
+    pub slack: f64,
+}
+
+/// Part of what is allowed that is used: requests of a gatekeeper that dies count for nobody.
+const USED: f64 = 0.8;
+
+/// Further tries for one service at this gatekeeper.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    firsts: VecDeque<f64>,
+    further: VecDeque<f64>,
+}
+
+impl Budget {
+    fn turn(queue: &mut VecDeque<f64>, now: f64, window: f64) {
+        while queue.front().is_some_and(|at| now - at > window) {
+            queue.pop_front();
+        }
+    }
+
+    /// A first try went out.
+    pub fn first(&mut self, now: f64, terms: &Terms) {
+        Self::turn(&mut self.firsts, now, terms.window);
+        self.firsts.push_back(now);
+    }
+
+    /// Further ones that may go out now, with so many gatekeepers at the most (0: not known).
+    pub fn room(&mut self, now: f64, terms: &Terms, gates: u32) -> f64 {
+        Self::turn(&mut self.firsts, now, terms.window);
+        Self::turn(&mut self.further, now, terms.window);
+        let slack = if gates == 0 { 0.0 } else { terms.slack / f64::from(gates) };
+        let most = USED * (terms.ratio * self.firsts.len() as f64 + slack);
+        (most - self.further.len() as f64).max(0.0).floor()
+    }
+
+    /// A further one went out.
+    pub fn spent(&mut self, now: f64) {
+        self.further.push_back(now);
+    }
+}
--- /dev/null
+++ b/toolroom/src/config/items.rs
@@ -0,0 +1,130 @@
+//! Owns the items: a map from name to the highest version seen, set or dropped. Merging is commutative, associative
+//! and idempotent, so copies that saw the same items in any order are equal. It must never judge what an item says.
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// What an item is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// A route.
+    Route,
+    /// A tenant.
+    Tenant,
+    /// A service.
+    Service,
+    /// The one item of bounds on clients.
+    Saturation,
+}
+
+impl Kind {
+    /// The list that holds items of this kind.
+    pub fn list(self) -> &'static str {
+        match self {
+            Kind::Route => "route_set",
+            Kind::Tenant => "tenant_set",
+            Kind::Service => "service_set",
+            Kind::Saturation => "saturation",
+        }
+    }
+}
+
+/// One version of an item. `body`: its fields as they were sent; `None`: dropped.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    /// What it is.
+    pub kind: Kind,
+    /// Its name.
+    pub label: String,
+    /// Its version.
+    pub version: u64,
+    /// Its fields.
+    pub body: Option<Map<String, Value>>,
+}
+
+/// The items that hold.
+#[derive(Clone, Debug, Default)]
+pub struct Items {
+    map: BTreeMap<(Kind, String), Item>,
+    digest: u64,
+}
+
+fn hash(item: &Item) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (item.kind, &item.label, item.version).hash(&mut hasher);
+    hasher.finish()
+}
+
+impl Items {
+    /// The same at every process that holds the same versions.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Is nothing known at all?
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
+    }
+
+    /// The version that holds for a name.
+    pub fn version(&self, kind: Kind, label: &str) -> Option<u64> {
+        self.map.get(&(kind, label.to_owned())).map(|i| i.version)
+    }
+
+    /// The fields of one item, if it stands.
+    pub fn body(&self, kind: Kind, label: &str) -> Option<&Map<String, Value>> {
+        self.map.get(&(kind, label.to_owned()))?.body.as_ref()
+    }
+
+    /// Would this item change anything?
+    pub fn is_news(&self, item: &Item) -> bool {
+        self.version(item.kind, &item.label).is_none_or(|v| v < item.version)
+    }
+
+    /// Takes an item if its version is higher than the one held.
+    pub fn merge(&mut self, item: Item) -> bool {
+        if !self.is_news(&item) {
+            return false;
+        }
+        self.digest ^= hash(&item);
+        if let Some(old) = self.map.insert((item.kind, item.label.clone()), item) {
+            self.digest ^= hash(&old);
+        }
+        true
+    }
+
+    /// All items, the dropped ones too.
+    pub fn all(&self) -> impl Iterator<Item = &Item> {
+        self.map.values()
+    }
+
+    /// The items of a kind that stand.
+    pub fn standing(&self, kind: Kind) -> impl Iterator<Item = (&str, &Map<String, Value>)> {
+        let of_kind = self.map.iter().filter(move |((k, _), _)| *k == kind);
+        of_kind.filter_map(|((_, label), item)| Some((label.as_str(), item.body.as_ref()?)))
+    }
+
+    /// All items that stand, laid out as in the first call's set.
+    pub fn render(&self) -> Value {
+        let mut out = Map::new();
+        for kind in [Kind::Route, Kind::Tenant, Kind::Service] {
+            let mut columns: Vec<&str> = Vec::new();
+            for (_, body) in self.standing(kind) {
+                for name in body.keys().filter(|n| !columns.contains(&n.as_str())).collect::<Vec<_>>() {
+                    columns.push(name);
+                }
+            }
+            let row = |body: &Map<String, Value>| {
+                Value::Array(columns.iter().map(|c| body.get(*c).cloned().unwrap_or(Value::Null)).collect())
+            };
+            let records: Vec<Value> = self.standing(kind).map(|(_, body)| row(body)).collect();
+            out.insert(kind.list().into(), serde_json::json!({ "columns": columns, "records": records }));
+        }
+        if let Some((_, body)) = self.standing(Kind::Saturation).next() {
+            out.insert(Kind::Saturation.list().into(), Value::Object(body.clone()));
+        }
+        Value::Object(out)
+    }
+}
--- /dev/null
+++ b/toolroom/src/config/mod.rs
@@ -0,0 +1,10 @@
+//! The operator's configuration: named items with versions of their own, calls that change them, what makes a whole
+//! configuration invalid, and what a gatekeeper serves by. Pure. It must never know a socket or a disk.
+
+pub mod call;
+pub mod items;
+pub mod view;
+
+pub use call::read_call;
+pub use items::{Item, Items, Kind};
+pub use view::View;
--- /dev/null
+++ b/toolroom/src/core/roster.rs
@@ -0,0 +1,189 @@
+//! Owns the core's part in the list of workers: what they call, who else must know before a leaving worker hears so,
+//! who has fallen silent. It must never acknowledge a worker's leaving before enough of the core knows of it.
+
+use super::{fault, CallId, Effect, Shared};
+use crate::registry::{Merge, Phase, Registry, Worker};
+use crate::settings::Settings;
+use crate::wire::Msg;
+use serde_json::json;
+use std::collections::{BTreeSet, HashMap};
+use std::net::IpAddr;
+
+/// A worker that said nothing for so many heartbeats is silent.
+const SILENT_BEATS: f64 = 4.0;
+/// Those that ended are remembered for so long, so that late calls don't revive them: seconds.
+const KEEP: f64 = 60.0;
+/// Who was heard of is told this often: seconds.
+const ALIVE_EVERY: f64 = 0.5;
+/// A leaving worker hears by then, so that it can call elsewhere: seconds.
+const HOLD_WITHIN: f64 = 0.8;
+
+struct Holding {
+    call: CallId,
+    held: BTreeSet<IpAddr>,
+    until: f64,
+    id: String,
+    phase: Phase,
+}
+
+/// The core's list of workers.
+pub struct Roster {
+    /// The list.
+    pub registry: Registry,
+    beat: f64,
+    holdings: HashMap<u64, Holding>,
+    /// Workers whose leaving enough others know of.
+    known: HashMap<String, Phase>,
+    alive: HashMap<String, u64>,
+    told_at: f64,
+    /// Since when most of the core has been in touch.
+    touch_since: Option<f64>,
+    differing: HashMap<IpAddr, (u32, f64)>,
+}
+
+impl Roster {
+    /// An empty one.
+    pub fn new(settings: &Settings) -> Self {
+        Roster {
+            registry: Registry::default(),
+            beat: settings.heartbeat.as_secs_f64(),
+            holdings: HashMap::new(),
+            known: HashMap::new(),
+            alive: HashMap::new(),
+            told_at: 0.0,
+            touch_since: None,
+            differing: HashMap::new(),
+        }
+    }
+
+    /// Takes news; returned: what changed here, and what others hold wrongly as silent.
+    pub fn merge(&mut self, now: f64, workers: Vec<Worker>) -> (Vec<Worker>, Vec<Worker>) {
+        let (mut changed, mut contested) = (Vec::new(), Vec::new());
+        for worker in workers {
+            let (id, phase) = (worker.id.clone(), worker.phase);
+            match self.registry.merge(now, worker, KEEP) {
+                Merge::Changed => {
+                    let Some(held) = self.registry.get(&id) else { continue };
+                    tracing::info!(worker = %held.id, service = %held.service, phase = ?held.phase, "worker");
+                    changed.push(held.clone());
+                }
+                Merge::Old if phase == Phase::Silent => {
+                    contested.extend(self.registry.get(&id).filter(|w| w.phase <= Phase::Decaying).cloned());
+                }
+                Merge::Old | Merge::Refreshed => {}
+            }
+        }
+        (changed, contested)
+    }
+
+    /// A worker called here: the others are to hear that it lives.
+    pub fn refreshed(&mut self, worker: &Worker) {
+        self.alive.insert(worker.id.to_string(), worker.calls);
+    }
+
+    /// Others heard of these; `true`: some are unknown here.
+    pub fn alive(&mut self, now: f64, heard: &[(String, u64)]) -> bool {
+        heard.iter().fold(false, |news, (id, calls)| self.registry.alive(now, id, *calls) || news)
+    }
+
+    /// The same worker as gone.
+    pub fn departed(&self, id: &str) -> Option<Worker> {
+        let held = self.registry.get(id)?;
+        Some(Worker { phase: Phase::Gone, calls: held.calls + 1, ..held.clone() })
+    }
+
+    /// A leaving worker is answered once enough of the core knows.
+    pub fn hold(
+        &mut self,
+        now: f64,
+        call: CallId,
+        worker: Worker,
+        shared: &mut Shared,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.known.get(&*worker.id).is_some_and(|phase| *phase >= worker.phase) {
+            return out.push(Effect::Reply(call, 200, json!({})));
+        }
+        let ask = shared.number();
+        let held = BTreeSet::from([shared.me.ip]);
+        let (id, phase) = (worker.id.to_string(), worker.phase);
+        self.holdings.insert(ask, Holding { call, held, until: now + HOLD_WITHIN, id, phase });
+        for ip in shared.peers() {
+            out.push(Effect::Send(ip, Msg::Hold { ask, workers: vec![worker.clone()] }));
+        }
+        self.held(shared.me.ip, ask, shared, out);
+    }
+
+    /// One more machine knows.
+    pub fn held(&mut self, ip: IpAddr, ask: u64, shared: &Shared, out: &mut Vec<Effect>) {
+        let Some(holding) = self.holdings.get_mut(&ask) else { return };
+        holding.held.insert(ip);
+        if shared.may_hold_all(holding.held.iter()) {
+            tracing::info!(worker = holding.id, phase = ?holding.phase, "acknowledges a leaving worker");
+            out.push(Effect::Reply(holding.call, 200, json!({})));
+            if let Some(done) = self.holdings.remove(&ask) {
+                self.known.insert(done.id, done.phase);
+            }
+        }
+    }
+
+    /// Does a core machine's list go on to differ? Once in a while.
+    pub fn differs(&mut self, now: f64, ip: IpAddr, digest: u64) -> bool {
+        let (times, at) = self.differing.entry(ip).or_insert((0, f64::NEG_INFINITY));
+        *times = if digest == self.registry.digest() { 0 } else { *times + 1 };
+        let tell = *times >= 3 && now - *at > 1.0;
+        if tell {
+            (*times, *at) = (0, now);
+        }
+        tell
+    }
+
+    /// Has this machine listened for so long, in touch with most of the core, that it knows every live worker?
+    pub fn settled(&self, now: f64) -> bool {
+        self.touch_since.is_some_and(|at| now - at > SILENT_BEATS * self.beat)
+    }
+
+    /// Nobody's silence counts: this process was away.
+    pub fn excuse(&mut self, now: f64) {
+        self.touch_since = None;
+        self.registry.excuse(now);
+    }
+
+    /// Upkeep; returned: workers that are silent from now on.
+    pub fn tick(&mut self, now: f64, shared: &Shared, out: &mut Vec<Effect>) -> Vec<Worker> {
+        let late: Vec<u64> = self.holdings.iter().filter(|(_, h)| h.until <= now).map(|(a, _)| *a).collect();
+        for ask in late {
+            let Some(holding) = self.holdings.remove(&ask) else { continue };
+            tracing::warn!(worker = holding.id, "too few core machines know of a leaving worker in time");
+            out.push(Effect::Reply(holding.call, 503, fault("too few core machines in time")));
+        }
+        if now - self.told_at >= ALIVE_EVERY && !self.alive.is_empty() {
+            self.told_at = now;
+            let alive: Vec<(String, u64)> = self.alive.drain().collect();
+            for ip in shared.peers() {
+                out.push(Effect::Send(ip, Msg::Alive(alive.clone())));
+            }
+        }
+        self.touch_since = match shared.majority(now) {
+            true => self.touch_since.or(Some(now)),
+            false => None,
+        };
+        self.registry.sweep(now);
+        if self.known.len() > 10_000 {
+            self.known.clear();
+        }
+        if !self.settled(now) {
+            return Vec::new();
+        }
+        let silent = self.registry.expire(now, SILENT_BEATS * self.beat, KEEP);
+        if !silent.is_empty() {
+            for worker in &silent {
+                tracing::warn!(worker = %worker.id, service = %worker.service, "worker fell silent");
+            }
+            for ip in shared.peers() {
+                out.push(Effect::Send(ip, Msg::Workers(silent.clone())));
+            }
+        }
+        silent
+    }
+}
--- /dev/null
+++ b/toolroom/src/edge/mod.rs
@@ -0,0 +1,371 @@
+//! The edge role as one state machine: events in, effects out. What it knows comes from the core (`control`), what it
+//! decides of requests is in `desk`, each service's decision module in `service`. Pure; time is passed in. It must
+//! never go back behind a version that it has served by, and never send a worker what it may have run.
+
+pub mod desk;
+pub mod service;
+
+use crate::budget;
+use crate::config::{Items, View};
+use crate::core::seat;
+use crate::quota::{self, Quota};
+use crate::registry::{Merge, Phase, Registry, Worker};
+use crate::settings::Settings;
+use crate::wire::{Member, Msg};
+use desk::{Answer, Request};
+use service::Service;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use whinstall::{ground, HostId, RequestId};
+
+/// What happens to this process.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Some time has passed: comes when [`Edge::next`] says, and every [`TICK`] seconds.
+    Tick,
+    /// A connection to a core machine came up.
+    LinkUp(IpAddr),
+    /// It went down.
+    LinkDown(IpAddr),
+    /// A core machine said this.
+    Core(IpAddr, Msg),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Keep a connection to this core machine open from now on.
+    Connect(IpAddr),
+    /// Say this on it.
+    Send(IpAddr, Msg),
+    /// Send an attempt of a request to a worker.
+    Dispatch {
+        /// Which request.
+        id: RequestId,
+        /// Which attempt of it.
+        attempt: u32,
+        /// The worker's life.
+        worker: HostId,
+        /// Where it listens.
+        address: SocketAddr,
+        /// Seconds after which it is given up.
+        within: f64,
+    },
+    /// Give up an attempt.
+    CallOff(RequestId, u32),
+    /// The final answer to a request.
+    Answer(RequestId, Answer),
+    /// Close idle connections to a worker.
+    CloseIdle(HostId),
+}
+
+/// Seconds between two ticks.
+pub const TICK: f64 = 0.05;
+/// Seconds between two pings to a core machine.
+const PING: f64 = 0.5;
+/// A core machine's word on who holds the counter counts for so long: seconds.
+const WORD: f64 = 1.6;
+/// Workers that ended are remembered for so long: seconds.
+const KEEP: f64 = 60.0;
+
+#[derive(Clone, Debug, Default)]
+struct CoreLink {
+    up: bool,
+    heard: f64,
+    holder: Option<IpAddr>,
+    gates: u32,
+}
+
+/// The edge role.
+pub struct Edge {
+    settings: Settings,
+    /// What tells this life from others.
+    pub life: u64,
+    items: Items,
+    /// What is served by.
+    pub view: Arc<View>,
+    registry: Registry,
+    quota: Quota,
+    budget: budget::Terms,
+    services: BTreeMap<Arc<str>, Service>,
+    requests: HashMap<RequestId, Request>,
+    links: BTreeMap<IpAddr, CoreLink>,
+    /// Requests that wait for the counter.
+    waiting: Vec<RequestId>,
+    workers_known: bool,
+    synced: bool,
+    pinged: f64,
+    gates: u32,
+    rng: fastrand::Rng,
+    ending: bool,
+}
+
+impl Edge {
+    /// One that knows nothing yet; `life` differs for each start.
+    pub fn new(settings: Settings, life: u64) -> Self {
+        let e = &settings.envelope;
+        let terms = quota::Terms {
+            every: seat::SYNC_EVERY,
+            overdue: seat::OVERDUE,
+            lapse: seat::lapse(&settings),
+            overshoot: e.quota_overshoot,
+            margin: e.quota_margin,
+            horizon: e.quota_horizon.as_secs_f64(),
+        };
+        let budget = budget::Terms {
+            ratio: e.retry_ratio,
+            window: e.retry_window.as_secs_f64(),
+            slack: e.retry_slack,
+        };
+        let items = Items::default();
+        Edge {
+            view: Arc::new(View::fold(&items)),
+            items,
+            registry: Registry::default(),
+            quota: Quota::new(terms),
+            budget,
+            services: BTreeMap::new(),
+            requests: HashMap::new(),
+            links: BTreeMap::new(),
+            waiting: Vec::new(),
+            workers_known: false,
+            synced: false,
+            pinged: f64::NEG_INFINITY,
+            gates: 0,
+            rng: fastrand::Rng::with_seed(life ^ ground::hash(&settings.node)),
+            ending: false,
+            settings,
+            life,
+        }
+    }
+
+    /// What is to be done first.
+    pub fn start(&mut self, out: &mut Vec<Effect>) {
+        for seed in self.settings.seeds.clone() {
+            self.reach(seed.ip(), out);
+        }
+    }
+
+    fn reach(&mut self, ip: IpAddr, out: &mut Vec<Effect>) {
+        self.links.entry(ip).or_insert_with(|| {
+            out.push(Effect::Connect(ip));
+            CoreLink::default()
+        });
+    }
+
+    /// Can clients be served? Once the configuration and its workers are known and the counter was met.
+    pub fn is_ready(&self) -> bool {
+        !self.ending && self.can_serve()
+    }
+
+    /// The same without regard to an end.
+    pub fn can_serve(&self) -> bool {
+        let mut routed =
+            self.view.routes().flat_map(|r| r.mixture.iter().filter(|m| m.1 > 0.0).map(|m| &m.0));
+        let limited = self.view.tenants().values().any(|t| t.rate > 0.0);
+        let has = |service: &Arc<str>| {
+            self.registry.all().any(|w| w.service == *service && w.phase == Phase::Settled)
+        };
+        !self.items.is_empty() && (self.workers_known || routed.all(has)) && (self.synced || !limited)
+    }
+
+    /// This process is asked to end: it is not ready any more.
+    pub fn end(&mut self) {
+        self.ending = true;
+    }
+
+    /// Is this request not over yet?
+    pub fn knows(&self, id: &RequestId) -> bool {
+        self.requests.contains_key(id)
+    }
+
+    /// Requests that are owed an answer or have an attempt out.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Other settings from now on: other seeds are reached for; bounds that count from the start keep.
+    pub fn retune(&mut self, settings: Settings, out: &mut Vec<Effect>) {
+        for seed in &settings.seeds {
+            self.reach(seed.ip(), out);
+        }
+        self.settings = settings;
+    }
+
+    /// Takes an event at `now`, in seconds of a steady clock.
+    pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::LinkUp(ip) => {
+                let hello = Msg::Hello { node: self.settings.node.clone(), life: self.life, member: None };
+                out.push(Effect::Send(ip, hello));
+                out.push(Effect::Send(ip, self.ping()));
+                self.links.entry(ip).or_default().up = true;
+            }
+            Event::LinkDown(ip) => {
+                let lost = self.links.get(&ip).is_some_and(|l| l.holder == Some(ip));
+                self.links.insert(ip, CoreLink::default());
+                if lost {
+                    self.quota.unheld(now);
+                }
+            }
+            Event::Core(ip, msg) => self.core(now, ip, msg, out),
+        }
+    }
+
+    fn ping(&self) -> Msg {
+        Msg::Ping { config: self.items.digest(), workers: self.registry.digest() }
+    }
+
+    fn core(&mut self, now: f64, ip: IpAddr, msg: Msg, out: &mut Vec<Effect>) {
+        let link = self.links.entry(ip).or_default();
+        link.heard = now;
+        match msg {
+            Msg::Members(members) => {
+                for Member { ip, .. } in members {
+                    self.reach(ip, out);
+                }
+            }
+            Msg::Pong { holder, gates, .. } => {
+                (link.holder, link.gates) = (holder, gates);
+                let most = self.links.values().map(|l| l.gates).max().unwrap_or(0);
+                // Fewer only once every core machine that is in touch says so.
+                if most != self.gates {
+                    self.gates = most;
+                    self.services.values_mut().for_each(|s| s.gates(most));
+                }
+                self.sync(now, out);
+            }
+            Msg::Items(items) => {
+                let news: Vec<String> = items
+                    .into_iter()
+                    .filter_map(|i| self.items.merge(i.clone()).then_some(i.label))
+                    .collect();
+                if !news.is_empty() {
+                    self.view = Arc::new(View::fold(&self.items));
+                    tracing::info!(items = news.len(), "configuration in force");
+                }
+            }
+            Msg::Workers(workers) => self.workers(now, workers, out),
+            Msg::AllWorkers { workers, settled } => {
+                if settled {
+                    self.workers_known = true;
+                    self.missing(now, &workers, out);
+                }
+                self.workers(now, workers, out);
+            }
+            Msg::Totals { ask, held: true, totals } => {
+                if self.quota.told(now, ask, &totals) {
+                    self.synced = true;
+                    self.decide_waiting(now, false, out);
+                }
+                self.sync(now, out);
+            }
+            Msg::Totals { held: false, .. } => {
+                self.links.entry(ip).or_default().holder = None;
+                self.quota.unheld(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Workers that a settled core machine does not know: they are silent.
+    fn missing(&mut self, now: f64, told: &[Worker], out: &mut Vec<Effect>) {
+        let known: std::collections::HashSet<&str> = told.iter().map(|w| &*w.id).collect();
+        let gone = self.registry.all().filter(|w| w.phase <= Phase::Decaying && !known.contains(&*w.id));
+        let gone: Vec<Worker> = gone.map(|w| Worker { phase: Phase::Silent, ..w.clone() }).collect();
+        if !gone.is_empty() {
+            tracing::info!(workers = gone.len(), "workers that the core does not know any more");
+            self.workers(now, gone, out);
+        }
+    }
+
+    fn workers(&mut self, now: f64, workers: Vec<Worker>, out: &mut Vec<Effect>) {
+        let mut touched: Vec<Arc<str>> = Vec::new();
+        for worker in workers {
+            let (id, service) = (worker.id.clone(), worker.service.clone());
+            if self.registry.merge(now, worker, KEEP) != Merge::Changed {
+                continue;
+            }
+            if self.registry.get(&id).is_some_and(|w| w.phase != Phase::Settled) {
+                out.push(Effect::CloseIdle(HostId(id)));
+            }
+            if !touched.contains(&service) {
+                touched.push(service);
+            }
+        }
+        for service in touched {
+            self.refresh(now, &service, out);
+        }
+    }
+
+    /// Tells a service's module its workers.
+    fn refresh(&mut self, now: f64, name: &Arc<str>, out: &mut Vec<Effect>) {
+        let mut actions = Vec::new();
+        self.service(name);
+        if let Some(service) = self.services.get_mut(name) {
+            service.workers(now, &self.registry, &mut actions);
+        }
+        self.carry_out(now, name, actions, out);
+    }
+
+    /// The service of this name, made if need be.
+    fn service(&mut self, name: &Arc<str>) {
+        if !self.services.contains_key(name) {
+            let ordinal = (ground::hash(&self.settings.node) >> 40) as u32;
+            let seed = self.rng.u64(..);
+            let made = Service::new(Arc::clone(name), &self.settings.zone, ordinal, self.gates, seed);
+            self.services.insert(Arc::clone(name), made);
+        }
+    }
+
+    /// May this worker be sent to right now?
+    pub fn takes_work(&self, worker: &HostId) -> bool {
+        self.registry.get(&worker.0).is_some_and(|w| w.phase == Phase::Settled)
+    }
+
+    /// Who holds the counter, by the freshest word of the core.
+    fn holder(&self, now: f64) -> Option<IpAddr> {
+        let fresh = self.links.iter().filter(|(_, l)| l.up && now - l.heard <= WORD);
+        let own = fresh.clone().find(|(ip, l)| l.holder == Some(**ip)).map(|(ip, _)| *ip);
+        own.or_else(|| {
+            let mut words = fresh.filter_map(|(_, l)| l.holder);
+            words.find(|ip| self.links.get(ip).is_some_and(|l| l.up))
+        })
+    }
+
+    /// Tells the counter what is due.
+    fn sync(&mut self, now: f64, out: &mut Vec<Effect>) {
+        let Some(holder) = self.holder(now) else { return };
+        if let Some((ask, charges)) = self.quota.sync(now) {
+            out.push(Effect::Send(holder, Msg::Sync { ask, charges }));
+        }
+    }
+
+    /// When a tick is wanted next at the latest.
+    pub fn next(&self, now: f64) -> f64 {
+        let modules = self.services.values().map(|s| s.due);
+        modules.fold(now + TICK, f64::min).min(self.quota.next(now).max(now + 0.005))
+    }
+
+    fn tick(&mut self, now: f64, out: &mut Vec<Effect>) {
+        if now - self.pinged >= PING {
+            self.pinged = now;
+            let ping = self.ping();
+            let up = self.links.iter().filter(|(_, l)| l.up).map(|(ip, _)| *ip);
+            out.extend(up.map(|ip| Effect::Send(ip, ping.clone())));
+            self.registry.sweep(now);
+        }
+        self.sync(now, out);
+        self.decide_waiting(now, true, out);
+        for name in self.services.keys().cloned().collect::<Vec<_>>() {
+            let mut actions = Vec::new();
+            if let Some(service) = self.services.get_mut(&name).filter(|s| now >= s.due) {
+                let further = service.further(now, &self.budget, self.gates);
+                service.tick(now, further, &mut actions);
+            }
+            self.carry_out(now, &name, actions, out);
+        }
+    }
+}
--- /dev/null
+++ b/toolroom/src/http.rs
@@ -0,0 +1,207 @@
+//! Owns the server's side of an HTTP connection, on actix-http's codec: whole requests in, whole answers out. It must
+//! never know what a request is for.
+
+use actix_codec::{Decoder, Encoder};
+use actix_http::body::BodySize;
+use actix_http::error::ParseError;
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::{
+    HttpMessage, KeepAlive, Request, Response, ResponseBuilder, ServiceConfig, ServiceConfigBuilder,
+};
+use actix_http::{Method, StatusCode};
+use bytes::{Bytes, BytesMut};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// After an answer that ends a connection, so much is read and dropped for so long: a connection that is closed over
+/// unread bytes is reset, which can cost its client the answer.
+const LINGER: (Duration, usize) = (Duration::from_millis(300), 1024 * 1024);
+/// A client takes an answer within this.
+const TAKEN_WITHIN: Duration = Duration::from_secs(10);
+
+/// Bounds on a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The longest head.
+    pub head_bytes: usize,
+    /// The longest body.
+    pub body_bytes: usize,
+    /// A head is whole within this from its first byte.
+    pub head_within: Duration,
+    /// A body is whole within this.
+    pub body_within: Duration,
+}
+
+/// A whole request.
+pub struct Whole {
+    /// Its head.
+    pub head: Request,
+    /// Its body; `None`: it has none, which is not the same as an empty one.
+    pub body: Option<Bytes>,
+}
+
+/// Why there is no request.
+#[derive(Debug, PartialEq, displaydoc::Display)]
+pub enum HttpError {
+    /// the connection has ended
+    Gone,
+    /// {0}: {1}
+    Rejected(StatusCode, &'static str),
+}
+
+/// How connections are served: the same for all.
+pub fn config() -> ServiceConfig {
+    ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build()
+}
+
+/// A connection that somebody opened.
+pub struct Connection {
+    stream: TcpStream,
+    codec: Codec,
+    read: BytesMut,
+}
+
+impl Connection {
+    /// Serves this stream.
+    pub fn new(stream: TcpStream, config: &ServiceConfig) -> Self {
+        let _ = stream.set_nodelay(true);
+        Connection { stream, codec: Codec::new(config.clone()), read: BytesMut::new() }
+    }
+
+    /// Waits for the first byte of a request.
+    pub async fn first(&mut self) -> Result<(), HttpError> {
+        while self.read.is_empty() {
+            self.more().await?;
+        }
+        Ok(())
+    }
+
+    /// Has anything been read, or is there anything to be read, that is not answered yet?
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        self.read.is_empty() && peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    async fn more(&mut self) -> Result<(), HttpError> {
+        self.read.reserve(2048);
+        match self.stream.read_buf(&mut self.read).await {
+            Ok(0) | Err(_) => Err(HttpError::Gone),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// The next request, whole.
+    pub async fn request(&mut self, bounds: &Bounds) -> Result<Whole, HttpError> {
+        let late = HttpError::Rejected(StatusCode::REQUEST_TIMEOUT, "not whole in time");
+        let head = timeout(bounds.head_within, self.head(bounds)).await.map_err(|_| late)??;
+        let too_long = || HttpError::Rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
+        let claimed = head.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse().ok());
+        if claimed.is_some_and(|length: u64| length > bounds.body_bytes as u64) {
+            return Err(too_long());
+        }
+        if self.codec.message_type() == MessageType::None {
+            return Ok(Whole { body: claimed.map(|_| Bytes::new()), head });
+        }
+        if head.head().expect() {
+            let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        }
+        let late = HttpError::Rejected(StatusCode::REQUEST_TIMEOUT, "body not whole in time");
+        let body = timeout(bounds.body_within, self.body(bounds)).await.map_err(|_| late)??;
+        Ok(Whole { head, body: Some(body) })
+    }
+
+    async fn head(&mut self, bounds: &Bounds) -> Result<Request, HttpError> {
+        let too_long = HttpError::Rejected(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head too long");
+        loop {
+            match self.codec.decode(&mut self.read) {
+                Ok(Some(Message::Item(request))) => return Ok(request),
+                Ok(None) if self.read.len() <= bounds.head_bytes => self.more().await?,
+                Ok(None) | Err(ParseError::TooLarge) => return Err(too_long),
+                Ok(Some(Message::Chunk(_))) | Err(_) => {
+                    return Err(HttpError::Rejected(StatusCode::BAD_REQUEST, "not HTTP"))
+                }
+            }
+        }
+    }
+
+    async fn body(&mut self, bounds: &Bounds) -> Result<Bytes, HttpError> {
+        let mut body = BytesMut::new();
+        loop {
+            match self.codec.decode(&mut self.read) {
+                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Some(Message::Chunk(Some(chunk)))) if body.len() + chunk.len() > bounds.body_bytes => {
+                    return Err(HttpError::Rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too long"))
+                }
+                Ok(Some(Message::Chunk(Some(chunk)))) => body.extend_from_slice(&chunk),
+                Ok(None) => self.more().await?,
+                Ok(Some(Message::Item(_))) | Err(_) => {
+                    return Err(HttpError::Rejected(StatusCode::BAD_REQUEST, "body not whole"))
+                }
+            }
+        }
+    }
+
+    /// Resolves when the other side closes. What else it sends meanwhile is kept for later, up to a bound.
+    pub async fn left(&mut self) {
+        while self.read.len() < 65536 {
+            if self.more().await.is_err() {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Writes an answer. `Ok(true)`: the connection lives on.
+    pub async fn answer(&mut self, mut response: ResponseBuilder, body: Bytes) -> Result<bool, HttpError> {
+        let mut out = BytesMut::with_capacity(384 + body.len());
+        let head = response.message_body(()).map_err(|_| HttpError::Gone)?;
+        let size = BodySize::Sized(body.len() as u64);
+        self.codec.encode(Message::Item((head, size)), &mut out).map_err(|_| HttpError::Gone)?;
+        out.extend_from_slice(&body);
+        let written = timeout(TAKEN_WITHIN, self.stream.write_all(&out)).await;
+        written.map_err(|_| HttpError::Gone)?.map_err(|_| HttpError::Gone)?;
+        if !self.codec.keep_alive() {
+            self.linger().await;
+            return Ok(false);
+        }
+        Ok(true)
+    }
+
+    /// Ends the connection in order.
+    pub async fn linger(&mut self) {
+        let _ = self.stream.shutdown().await;
+        let _ = timeout(LINGER.0, async {
+            let mut dropped = 0;
+            while dropped < LINGER.1 {
+                self.read.clear();
+                if self.more().await.is_err() {
+                    break;
+                }
+                dropped += self.read.len();
+            }
+        })
+        .await;
+    }
+}
+
+/// An answer with a text.
+pub fn plain(status: StatusCode, text: &'static str) -> (ResponseBuilder, Bytes) {
+    (Response::build(status), Bytes::from_static(text.as_bytes()))
+}
+
+/// An answer in JSON.
+pub fn json(status: u16, body: &serde_json::Value) -> (ResponseBuilder, Bytes) {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = Response::build(status);
+    response.insert_header(("content-type", "application/json"));
+    (response, Bytes::from(body.to_string()))
+}
+
+/// Is this method and path the one?
+pub fn is(request: &Request, method: Method, path: &str) -> bool {
+    request.method() == method && request.path() == path
+}
--- /dev/null
+++ b/toolroom/src/jig.rs
@@ -0,0 +1,495 @@
+//! The driver of the edge role: sockets and clock around the state machine in `edge`. It must never decide on a
+//! request; what it turns back by itself is only what no configuration allows.
+
+use crate::courier::{Courier, Forward, Reply, LOOK};
+use crate::edge::desk::{Answer, Arrival};
+use crate::edge::{Edge, Effect, Event};
+use crate::http::{self, Bounds, Connection, HttpError, Whole};
+use crate::link::{self, Happens};
+use crate::settings::Settings;
+use crate::wire::Msg;
+use actix_http::header::HeaderMap;
+use actix_http::{HttpMessage, Response, ResponseBuilder, StatusCode};
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::{oneshot, watch, Notify};
+use whinstall::{Ending, HostId, RequestId};
+
+/// A body comes within this.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+/// Where a request does not say how long its client waits.
+const LEFT_MOST: Duration = Duration::from_secs(30);
+/// The platform needs so long to notice that this gatekeeper is not ready any more: two of its questions, and some.
+const NOTICE: Duration = Duration::from_millis(2600);
+/// So much of the grace period is left when this process ends by itself.
+const GRACE_LEFT: Duration = Duration::from_millis(500);
+
+/// Headers that concern one connection, or are set anew.
+const OWN: [&str; 14] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "api-key",
+    "x-tenant",
+    "x-target-instance",
+];
+
+enum Final {
+    Reply(Reply),
+    Plain(Answer),
+}
+
+struct Pending {
+    forward: Rc<Forward>,
+    tenant: Option<Arc<str>>,
+    reply: Option<oneshot::Sender<Final>>,
+    replies: HashMap<u32, Reply>,
+    called_off: HashMap<u32, oneshot::Sender<()>>,
+}
+
+struct Jig {
+    edge: RefCell<Edge>,
+    clock: crate::Clock,
+    links: RefCell<HashMap<IpAddr, UnboundedSender<Msg>>>,
+    pending: RefCell<HashMap<RequestId, Pending>>,
+    courier: Courier,
+    port: u16,
+    next: Cell<u64>,
+    /// Wakes the ticks when something is due earlier than they think.
+    due: Cell<f64>,
+    wake: Notify,
+    ending: watch::Sender<Option<Instant>>,
+    open: Cell<usize>,
+    descriptors: usize,
+}
+
+impl Jig {
+    fn handle(self: &Rc<Self>, event: Event) {
+        self.with(|edge, now, out| edge.handle(now, event, out));
+    }
+
+    fn with(self: &Rc<Self>, f: impl FnOnce(&mut Edge, f64, &mut Vec<Effect>)) {
+        let mut out = Vec::new();
+        let now = self.clock.now();
+        let next = {
+            let mut edge = self.edge.borrow_mut();
+            f(&mut edge, now, &mut out);
+            edge.next(now)
+        };
+        if next + 1e-3 < self.due.get() {
+            self.wake.notify_one();
+        }
+        for effect in out {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Connect(ip) => self.connect(ip),
+            Effect::Send(ip, msg) => {
+                if let Some(queue) = self.links.borrow().get(&ip) {
+                    let _ = queue.send(msg);
+                }
+            }
+            Effect::Dispatch { id, attempt, worker, address, within } => {
+                self.dispatch(id, attempt, worker, address, Duration::from_secs_f64(within.max(0.0)));
+            }
+            Effect::CallOff(id, attempt) => {
+                let called_off =
+                    self.pending.borrow_mut().get_mut(&id).and_then(|p| p.called_off.remove(&attempt));
+                drop(called_off);
+            }
+            Effect::Answer(id, answer) => {
+                let mut pending = self.pending.borrow_mut();
+                let Some(p) = pending.get_mut(&id) else { return };
+                let told = match answer {
+                    Answer::Worker(attempt) => p.replies.remove(&attempt).map(Final::Reply),
+                    other => Some(Final::Plain(other)),
+                };
+                if let Some(reply) = p.reply.take() {
+                    let _ = reply.send(told.unwrap_or(Final::Plain(Answer::Failed)));
+                }
+            }
+            Effect::CloseIdle(worker) => self.courier.close(&worker.0),
+        }
+    }
+
+    fn connect(self: &Rc<Self>, ip: IpAddr) {
+        if self.links.borrow().contains_key(&ip) {
+            return;
+        }
+        let (queue, outgoing) = unbounded_channel();
+        self.links.borrow_mut().insert(ip, queue);
+        let this = Rc::clone(self);
+        let address = SocketAddr::new(ip, self.port);
+        tokio::task::spawn_local(link::keep(address, outgoing, move |happens| {
+            this.handle(match happens {
+                Happens::Up => Event::LinkUp(ip),
+                Happens::Said(msg) => Event::Core(ip, msg),
+                Happens::Down => Event::LinkDown(ip),
+            });
+        }));
+    }
+
+    fn dispatch(
+        self: &Rc<Self>,
+        id: RequestId,
+        attempt: u32,
+        worker: HostId,
+        address: SocketAddr,
+        within: Duration,
+    ) {
+        let (call_off, called_off) = oneshot::channel::<()>();
+        let (forward, tenant) = {
+            let mut pending = self.pending.borrow_mut();
+            let Some(p) = pending.get_mut(&id) else { return };
+            p.called_off.insert(attempt, call_off);
+            (Rc::clone(&p.forward), p.tenant.clone())
+        };
+        let this = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let may_begin = || this.edge.borrow().takes_work(&worker);
+            let sent =
+                this.courier.attempt(&worker.0, address, &forward, tenant.as_deref(), within, may_begin);
+            let ended = tokio::select! {
+                biased;
+                ended = sent => Some(ended),
+                _ = called_off => None,
+            };
+            let (ending, whole) = match ended {
+                // May have run: nothing is known of how far it came.
+                None => (Ending::Cancelled, None),
+                Some(ended) => {
+                    if ended.misdirected {
+                        this.with(|edge, now, out| edge.misdirected(now, &worker, out));
+                    }
+                    let whole = ended.reply.is_some().then_some(ended.ending == Ending::Ok);
+                    if let Some(p) = this.pending.borrow_mut().get_mut(&id) {
+                        p.called_off.remove(&attempt);
+                        p.replies.extend(ended.reply.map(|reply| (attempt, reply)));
+                    }
+                    (ended.ending, whole)
+                }
+            };
+            this.with(|edge, now, out| edge.ended(now, &id, attempt, &worker, ending, whole, out));
+            this.forget(&id);
+        });
+    }
+
+    /// Forgets a request that is over in all respects.
+    fn forget(&self, id: &RequestId) {
+        let mut pending = self.pending.borrow_mut();
+        if pending.get(id).is_some_and(|p| p.reply.is_none()) && !self.edge.borrow().knows(id) {
+            pending.remove(id);
+        }
+    }
+
+    fn bounds(&self) -> (Bounds, Duration) {
+        let edge = self.edge.borrow();
+        let s = &edge.view.saturation;
+        let bounds = Bounds {
+            head_bytes: s.header_bytes,
+            body_bytes: s.body_bytes,
+            head_within: s.header_deadline,
+            body_within: BODY_WITHIN,
+        };
+        (bounds, s.idle_cutoff)
+    }
+
+    /// Serves a client's connection.
+    async fn converse(self: Rc<Self>, mut connection: Connection) {
+        let mut ending = self.ending.subscribe();
+        loop {
+            let (bounds, idle) = self.bounds();
+            let until = Instant::now() + idle;
+            loop {
+                let until =
+                    ending.borrow_and_update().map_or(until, |end| until.min(end.max(Instant::now())));
+                tokio::select! {
+                    biased;
+                    first = connection.first() => match first {
+                        Ok(()) => break,
+                        Err(_) => return,
+                    },
+                    Ok(()) = ending.changed() => {}
+                    () = tokio::time::sleep_until(until.into()) => {
+                        if connection.is_quiet() {
+                            return connection.linger().await;
+                        }
+                        tokio::task::yield_now().await;
+                    }
+                }
+            }
+            let (mut response, body) = match connection.request(&bounds).await {
+                Ok(whole) => match self.answer(whole, &mut connection).await {
+                    Some(answer) => answer,
+                    None => return,
+                },
+                Err(HttpError::Gone) => return,
+                Err(HttpError::Rejected(status, why)) => {
+                    let (mut response, body) = http::plain(status, why);
+                    response.force_close();
+                    (response, body)
+                }
+            };
+            if ending.borrow().is_some() {
+                response.force_close();
+            }
+            if !matches!(connection.answer(response, body).await, Ok(true)) {
+                return;
+            }
+        }
+    }
+
+    /// The answer to a request; `None`: its client has left.
+    async fn answer(
+        self: &Rc<Self>,
+        whole: Whole,
+        connection: &mut Connection,
+    ) -> Option<(ResponseBuilder, Bytes)> {
+        let Whole { head, body } = whole;
+        let view = Arc::clone(&self.edge.borrow().view);
+        let host = head.headers().get("host").and_then(|h| h.to_str().ok()).unwrap_or_default();
+        let Some(route) = view.route(host, head.path()).cloned() else {
+            return Some(http::plain(StatusCode::NOT_FOUND, "no route"));
+        };
+        let tenant = match view.keyed && !route.unkeyed {
+            false => None,
+            true => {
+                let mut keys = head.headers().get_all("api-key");
+                let key = keys.next().and_then(|k| k.to_str().ok());
+                match key.and_then(|key| view.tenant(key)).filter(|_| keys.next().is_none()) {
+                    Some(tenant) => Some(Arc::clone(tenant)),
+                    None => return Some(http::plain(StatusCode::UNAUTHORIZED, "unknown key")),
+                }
+            }
+        };
+        let Some(attempt_id) = head.headers().get("x-attempt-id").cloned() else {
+            return Some(http::plain(StatusCode::BAD_REQUEST, "no X-Attempt-Id"));
+        };
+        let left = head.headers().get("x-remaining-ms").and_then(|v| v.to_str().ok()?.trim().parse().ok());
+        let left = left.map_or(LEFT_MOST, Duration::from_millis).min(LEFT_MOST * 20);
+        let mut headers: HeaderMap = head.headers().clone();
+        // What its sender says concerns this connection only goes no further.
+        let named: Vec<String> = headers
+            .get_all("connection")
+            .filter_map(|v| v.to_str().ok())
+            .flat_map(|v| v.split(','))
+            .map(|name| name.trim().to_ascii_lowercase())
+            .collect();
+        for name in OWN.into_iter().chain(named.iter().map(String::as_str)) {
+            if !matches!(name, "host" | "x-attempt-id") {
+                headers.remove(name);
+            }
+        }
+        let forward = Rc::new(Forward {
+            method: head.method().clone(),
+            uri: head.uri().clone(),
+            headers,
+            body,
+            id: attempt_id,
+            repeatable: route.repeatable,
+            deadline: Instant::now() + route.cutoff.map_or(left, |c| left.min(c)),
+        });
+        let id = RequestId(self.next.get().to_string().into());
+        self.next.set(self.next.get() + 1);
+        let (reply, mut told) = oneshot::channel();
+        let pending = Pending {
+            forward,
+            tenant: tenant.as_ref().map(|t| Arc::clone(&t.label)),
+            reply: Some(reply),
+            replies: HashMap::new(),
+            called_off: HashMap::new(),
+        };
+        self.pending.borrow_mut().insert(id.clone(), pending);
+        let arrival = Arrival { id: id.clone(), route, tenant, left: left.as_secs_f64() };
+        self.with(|edge, now, out| edge.arrived(now, arrival, out));
+        let told = tokio::select! {
+            biased;
+            told = &mut told => told.unwrap_or(Final::Plain(Answer::Failed)),
+            () = connection.left() => {
+                if let Some(p) = self.pending.borrow_mut().get_mut(&id) {
+                    p.reply = None;
+                }
+                self.with(|edge, now, out| edge.left(now, &id, out));
+                self.forget(&id);
+                return None;
+            }
+        };
+        self.forget(&id);
+        Some(match told {
+            Final::Reply(reply) => {
+                let mut response = Response::build(reply.status);
+                for (name, value) in reply.headers.iter() {
+                    response.append_header((name.clone(), value.clone()));
+                }
+                (response, reply.body)
+            }
+            Final::Plain(answer) => plain(answer),
+        })
+    }
+}
+
+/// An answer that is not a worker's.
+fn plain(answer: Answer) -> (ResponseBuilder, Bytes) {
+    let (status, after, text) = match answer {
+        Answer::Limited(after) => (StatusCode::TOO_MANY_REQUESTS, Some(after), "beyond the quota"),
+        Answer::Refused(after) => (StatusCode::SERVICE_UNAVAILABLE, Some(after), "not run: come back"),
+        Answer::TimedOut => (StatusCode::GATEWAY_TIMEOUT, None, "no answer in time"),
+        Answer::Failed | Answer::Worker(_) | Answer::Nobody => (StatusCode::BAD_GATEWAY, None, "failed"),
+    };
+    let (mut response, body) = http::plain(status, text);
+    if let Some(after) = after {
+        response.insert_header(("retry-after", format!("{:.3}", after.max(0.001))));
+    }
+    (response, body)
+}
+
+/// Answers the platform's question whether this gatekeeper is ready.
+async fn readiness(jig: Rc<Jig>, listener: TcpListener) {
+    let config = http::config();
+    let bounds = Bounds {
+        head_bytes: 8192,
+        body_bytes: 1024,
+        head_within: Duration::from_secs(2),
+        body_within: Duration::from_secs(2),
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let (jig, mut connection) = (Rc::clone(&jig), Connection::new(stream, &config));
+        tokio::task::spawn_local(async move {
+            let idle = Duration::from_secs(10);
+            while let Ok(Ok(())) = tokio::time::timeout(idle, connection.first()).await {
+                let Ok(_) = connection.request(&bounds).await else { return };
+                let ready = jig.edge.borrow().is_ready();
+                let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                let (response, body) = http::plain(status, "");
+                if !matches!(connection.answer(response, body).await, Ok(true)) {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+struct Seat(Rc<Jig>);
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+async fn front(jig: Rc<Jig>, listener: TcpListener) {
+    let config = http::config();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "accept failed");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if jig.open.get() >= jig.descriptors / 2 {
+            // Closed unread: its client may come again elsewhere.
+            continue;
+        }
+        jig.open.set(jig.open.get() + 1);
+        let seat = Seat(Rc::clone(&jig));
+        let connection = Connection::new(stream, &config);
+        tokio::task::spawn_local(async move {
+            Rc::clone(&seat.0).converse(connection).await;
+            drop(seat);
+        });
+    }
+}
+
+/// Runs the edge role until it is asked to end.
+pub async fn run(settings: Settings) -> Result<(), crate::RunError> {
+    let clock = crate::Clock::new();
+    let front_at = settings.front.ok_or(crate::RunError::NotTold("network.endpoints.front_http"))?;
+    let ready_at = settings.ready.ok_or(crate::RunError::NotTold("network.endpoints.ready_port"))?;
+    let since = std::time::SystemTime::UNIX_EPOCH;
+    let life = since.elapsed().map_or(0, |d| d.as_nanos() as u64) ^ fastrand::u64(..);
+    tracing::info!(node = settings.node, life, "edge role starts");
+    let (port, grace) = (settings.inner_port, settings.envelope.grace);
+    let descriptors = settings.descriptors.saturating_sub(300).max(64);
+    let jig = Rc::new(Jig {
+        edge: RefCell::new(Edge::new(settings, life)),
+        clock,
+        links: RefCell::default(),
+        pending: RefCell::default(),
+        courier: Courier::new(descriptors / 2),
+        port,
+        next: Cell::new(1),
+        due: Cell::new(0.0),
+        wake: Notify::new(),
+        ending: watch::Sender::new(None),
+        open: Cell::new(0),
+        descriptors,
+    });
+    let ready = TcpListener::bind(ready_at).await.map_err(crate::RunError::Listen)?;
+    let clients = TcpListener::bind(front_at).await.map_err(crate::RunError::Listen)?;
+    let mut out = Vec::new();
+    jig.edge.borrow_mut().start(&mut out);
+    for effect in out {
+        jig.carry_out(effect);
+    }
+    tokio::task::spawn_local(readiness(Rc::clone(&jig), ready));
+    tokio::task::spawn_local(front(Rc::clone(&jig), clients));
+    let ticking = Rc::clone(&jig);
+    tokio::task::spawn_local(async move {
+        let mut looked = Instant::now();
+        loop {
+            ticking.handle(Event::Tick);
+            if looked.elapsed() >= LOOK {
+                looked = Instant::now();
+                ticking.courier.look();
+            }
+            let now = ticking.clock.now();
+            let next = ticking.edge.borrow().next(now);
+            ticking.due.set(next);
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_secs_f64((next - now).max(0.001))) => {}
+                () = ticking.wake.notified() => {}
+            }
+        }
+    });
+    let mut signals = crate::Signals::new().map_err(crate::RunError::Signals)?;
+    while let crate::Signal::Reread(settings) = signals.next().await {
+        jig.with(|edge, _, out| edge.retune(*settings, out));
+    }
+    let asked = Instant::now();
+    tracing::info!(open = jig.open.get(), "edge role drains");
+    jig.edge.borrow_mut().end();
+    jig.ending.send_replace(Some(asked + NOTICE));
+    let last = asked + grace.saturating_sub(GRACE_LEFT);
+    while Instant::now() < last {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        if asked.elapsed() > NOTICE && jig.open.get() == 0 && jig.edge.borrow().open() == 0 {
+            break;
+        }
+    }
+    tracing::info!(open = jig.open.get(), opened = jig.courier.opened.get(), "edge role ends");
+    Ok(())
+}
--- /dev/null
+++ b/toolroom/src/link.rs
@@ -0,0 +1,121 @@
+//! Owns connections between the system's own processes: opens them, opens them again, cuts messages out of bytes. It
+//! must never know what a message means.
+
+use crate::wire::{self, Msg};
+use bytes::BytesMut;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::timeout;
+
+/// A connection comes up within this.
+const DIAL: Duration = Duration::from_millis(700);
+/// The next try, after one that failed.
+const AGAIN: Duration = Duration::from_millis(250);
+/// The other side says something this often, or the connection is given up.
+const SILENCE: Duration = Duration::from_millis(1600);
+
+/// What happens on a connection.
+pub enum Happens {
+    /// It is up.
+    Up,
+    /// A message came.
+    Said(Msg),
+    /// It is down.
+    Down,
+}
+
+fn tune(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = socket2::SockRef::from(stream);
+    #[cfg(target_os = "linux")]
+    let _ = socket.set_tcp_user_timeout(Some(SILENCE));
+}
+
+/// Reads messages and writes what is to be said until the connection ends or nothing is heard for too long.
+async fn converse(
+    stream: TcpStream,
+    outgoing: &mut UnboundedReceiver<Msg>,
+    silence: Duration,
+    mut heard: impl FnMut(Msg),
+) -> io::Result<()> {
+    tune(&stream);
+    let (mut reader, mut writer) = stream.into_split();
+    let read = async {
+        let mut buffer = BytesMut::with_capacity(4096);
+        loop {
+            while let Some(msg) = wire::decode(&mut buffer).map_err(|e| io::Error::other(e.to_string()))? {
+                heard(msg);
+            }
+            buffer.reserve(4096);
+            match timeout(silence, reader.read_buf(&mut buffer)).await {
+                Ok(Ok(0)) | Err(_) => return Err(io::Error::from(io::ErrorKind::TimedOut)),
+                Ok(result) => result?,
+            };
+        }
+    };
+    let write = async {
+        let mut out = Vec::new();
+        while let Some(msg) = outgoing.recv().await {
+            out.clear();
+            out.extend(wire::encode(&msg));
+            while let Ok(msg) = outgoing.try_recv() {
+                out.extend(wire::encode(&msg));
+            }
+            writer.write_all(&out).await?;
+        }
+        Ok(())
+    };
+    tokio::select! {
+        result = read => result,
+        result = write => result,
+    }
+}
+
+/// Keeps a connection open for ever.
+pub async fn keep(
+    address: SocketAddr,
+    mut outgoing: UnboundedReceiver<Msg>,
+    mut happens: impl FnMut(Happens),
+) {
+    loop {
+        if let Ok(Ok(stream)) = timeout(DIAL, TcpStream::connect(address)).await {
+            // What was to be said on an earlier connection is stale.
+            while outgoing.try_recv().is_ok() {}
+            happens(Happens::Up);
+            let ended = converse(stream, &mut outgoing, SILENCE, |msg| happens(Happens::Said(msg))).await;
+            tracing::debug!(%address, error = ended.err().map(|e| e.to_string()), "link down");
+            happens(Happens::Down);
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+/// Takes connections for ever. `opened` makes the queue of what is to be said on one.
+pub async fn listen(
+    listener: TcpListener,
+    mut opened: impl FnMut(u64) -> UnboundedReceiver<Msg>,
+    happens: impl Fn(u64, Happens) + Clone + 'static,
+) {
+    let mut number = 0;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "accept failed");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        number += 1;
+        let (mut outgoing, happens) = (opened(number), happens.clone());
+        tokio::task::spawn_local(async move {
+            let heard = |msg| happens(number, Happens::Said(msg));
+            let _ = converse(stream, &mut outgoing, SILENCE, heard).await;
+            happens(number, Happens::Down);
+        });
+    }
+}
--- /dev/null
+++ b/toolroom/src/paths.rs
@@ -0,0 +1,134 @@
+//! Owns the small reader of paths over JSON: where in an operator's body something stands, and what is wrong there.
+//! It must never know what a configuration means.
+
+use serde_json::{Map, Value};
+use std::fmt;
+use std::time::Duration;
+
+/// What is wrong at a place of a body.
+#[derive(Debug, PartialEq, displaydoc::Display)]
+pub enum PathError {
+    /// not JSON: {0}
+    NotJson(String),
+    /// {0}: missing
+    Missing(String),
+    /// {0}: not {1}
+    Not(String, &'static str),
+}
+
+/// A value and the path that leads to it.
+#[derive(Clone)]
+pub struct At<'a> {
+    value: &'a Value,
+    path: Path<'a>,
+}
+
+#[derive(Clone)]
+enum Path<'a> {
+    Root,
+    Field(Box<Path<'a>>, &'a str),
+    Index(Box<Path<'a>>, usize),
+}
+
+impl fmt::Display for Path<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Path::Root => write!(f, "$"),
+            Path::Field(path, name) => write!(f, "{path}.{name}"),
+            Path::Index(path, index) => write!(f, "{path}[{index}]"),
+        }
+    }
+}
+
+impl<'a> At<'a> {
+    /// The root of a body.
+    pub fn root(value: &'a Value) -> Self {
+        At { value, path: Path::Root }
+    }
+
+    /// The value itself.
+    pub fn value(&self) -> &'a Value {
+        self.value
+    }
+
+    /// Its path, for messages.
+    pub fn path(&self) -> String {
+        self.path.to_string()
+    }
+
+    fn not<T>(&self, what: &'static str) -> Result<T, PathError> {
+        Err(PathError::Not(self.path(), what))
+    }
+
+    /// A field that may be missing or null.
+    pub fn get(&self, name: &'a str) -> Option<At<'a>> {
+        let value = self.value.get(name).filter(|v| !v.is_null())?;
+        Some(At { value, path: Path::Field(Box::new(self.path.clone()), name) })
+    }
+
+    /// A field that must be there.
+    pub fn need(&self, name: &'a str) -> Result<At<'a>, PathError> {
+        self.get(name).ok_or_else(|| PathError::Missing(format!("{}.{name}", self.path)))
+    }
+
+    /// The elements of a list.
+    pub fn list(&self) -> Result<Vec<At<'a>>, PathError> {
+        let Some(list) = self.value.as_array() else { return self.not("a list") };
+        let at = |(n, value)| At { value, path: Path::Index(Box::new(self.path.clone()), n) };
+        Ok(list.iter().enumerate().map(at).collect())
+    }
+
+    /// The fields of an object.
+    pub fn object(&self) -> Result<&'a Map<String, Value>, PathError> {
+        self.value.as_object().map_or_else(|| self.not("an object"), Ok)
+    }
+
+    /// A text.
+    pub fn text(&self) -> Result<&'a str, PathError> {
+        self.value.as_str().map_or_else(|| self.not("a text"), Ok)
+    }
+
+    /// A text that says something.
+    pub fn name(&self) -> Result<&'a str, PathError> {
+        self.text()?.trim().is_empty().then(|| self.not("a name")).unwrap_or_else(|| self.text())
+    }
+
+    /// A number that is finite and not below nought.
+    pub fn amount(&self) -> Result<f64, PathError> {
+        let amount = self.value.as_f64().filter(|x| x.is_finite() && *x >= 0.0);
+        amount.map_or_else(|| self.not("a number of at least 0"), Ok)
+    }
+
+    /// True or false.
+    pub fn truth(&self) -> Result<bool, PathError> {
+        self.value.as_bool().map_or_else(|| self.not("true or false"), Ok)
+    }
+
+    /// A time, as `2500ms` or `2.5s`.
+    pub fn time(&self) -> Result<Duration, PathError> {
+        let told = self.value.as_str().and_then(time);
+        told.map_or_else(|| self.not("a time such as 2500ms or 2.5s"), Ok)
+    }
+
+    /// A version, as `r12`.
+    pub fn version(&self) -> Result<u64, PathError> {
+        let told = self.value.as_str().and_then(|v| v.strip_prefix('r')?.parse().ok());
+        told.map_or_else(|| self.not("a version such as r12"), Ok)
+    }
+}
+
+/// A body as JSON.
+pub fn parse(body: &[u8]) -> Result<Value, PathError> {
+    serde_json::from_slice(body).map_err(|e| PathError::NotJson(e.to_string()))
+}
+
+/// A time in text: a number and `ms` or `s`.
+pub fn time(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 1e-3),
+        None => (text.strip_suffix('s')?, 1.0),
+    };
+    let number: f64 = number.trim().parse().ok()?;
+    Duration::try_from_secs_f64(number * unit).ok()
+}
--- /dev/null
+++ b/toolroom/src/registry.rs
@@ -0,0 +1,203 @@
+//! Owns the list of workers: lives by id, what each said last, who left, who fell silent. Merging is by call count, so
+//! copies that heard the same calls in any order agree. Pure; time is passed in. It must never call a worker dead on
+//! the word of a machine that was itself out of touch.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How a worker stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Phase {
+    /// Takes work.
+    Settled,
+    /// About to leave: nothing new.
+    Decaying,
+    /// Not heard of for too long; a later call of the same life revives it.
+    Silent,
+    /// Left. Final for a life.
+    Gone,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// Its id, which no other life has.
+    pub id: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Requests that it works on at a time.
+    pub capacity: u32,
+    /// How it stands.
+    pub phase: Phase,
+    /// Milliseconds for which it stays slow, from when this was told.
+    pub warmup_ms: u32,
+    /// Number of the call that told it; higher is later.
+    pub calls: u64,
+}
+
+impl Worker {
+    /// Is this later than that? Of the same call, the further phase counts.
+    fn is_after(&self, other: &Worker) -> bool {
+        match (other.phase, self.phase) {
+            (Phase::Gone, _) => false,
+            (_, Phase::Gone) => true,
+            // Leaving is never taken back within a life, whatever comes late.
+            (Phase::Decaying, Phase::Settled) => false,
+            (Phase::Settled | Phase::Silent, Phase::Decaying) => true,
+            _ => (self.calls, self.phase) > (other.calls, other.phase),
+        }
+    }
+
+    fn hash(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (&self.id, self.phase).hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// A worker and when it was last heard of.
+#[derive(Clone, Debug)]
+struct Entry {
+    worker: Worker,
+    heard: f64,
+    /// When it was taken to be warm.
+    warm_at: f64,
+}
+
+/// What a merge did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// Nothing new.
+    Old,
+    /// Only heard of again.
+    Refreshed,
+    /// Its phase, address or life is news to those who use it.
+    Changed,
+}
+
+/// The workers that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    map: HashMap<Arc<str>, Entry>,
+    /// Those that fell silent or left, kept so that late calls don't revive them: ids by when to forget.
+    ended: BTreeMap<u64, Vec<Arc<str>>>,
+    digest: u64,
+}
+
+impl Registry {
+    /// The same where the same workers stand alike; those that ended don't count.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// One of them.
+    pub fn get(&self, id: &str) -> Option<&Worker> {
+        self.map.get(id).map(|e| &e.worker)
+    }
+
+    /// All of them.
+    pub fn all(&self) -> impl Iterator<Item = &Worker> {
+        self.map.values().map(|e| &e.worker)
+    }
+
+    /// When it is warm, in the time that was passed in.
+    pub fn warm_at(&self, id: &str) -> f64 {
+        self.map.get(id).map_or(0.0, |e| e.warm_at)
+    }
+
+    fn counts(worker: &Worker) -> u64 {
+        if worker.phase <= Phase::Decaying {
+            worker.hash()
+        } else {
+            0
+        }
+    }
+
+    /// Takes what was heard of a worker at `now` (seconds); entries of ended ones are kept for `keep`.
+    pub fn merge(&mut self, now: f64, worker: Worker, keep: f64) -> Merge {
+        let warm_at = now + f64::from(worker.warmup_ms) / 1e3;
+        let id = Arc::clone(&worker.id);
+        let Some(entry) = self.map.get_mut(&id) else {
+            self.digest ^= Self::counts(&worker);
+            let ended = worker.phase > Phase::Decaying;
+            self.map.insert(Arc::clone(&id), Entry { worker, heard: now, warm_at });
+            if ended {
+                self.forget_later(now + keep, id);
+            }
+            return Merge::Changed;
+        };
+        if !worker.is_after(&entry.worker) {
+            return Merge::Old;
+        }
+        entry.heard = now;
+        let same = (worker.phase, worker.address, worker.capacity)
+            == (entry.worker.phase, entry.worker.address, entry.worker.capacity);
+        if same {
+            entry.worker.calls = worker.calls;
+            return Merge::Refreshed;
+        }
+        self.digest ^= Self::counts(&entry.worker) ^ Self::counts(&worker);
+        let ended = worker.phase > Phase::Decaying;
+        entry.worker = worker;
+        entry.warm_at = entry.warm_at.max(warm_at);
+        if ended {
+            self.forget_later(now + keep, id);
+        }
+        Merge::Changed
+    }
+
+    fn forget_later(&mut self, at: f64, id: Arc<str>) {
+        self.ended.entry((at * 1e3) as u64).or_default().push(id);
+    }
+
+    /// Heard of, by another core machine, up to this call; `true` where the worker is news here.
+    pub fn alive(&mut self, now: f64, id: &str, calls: u64) -> bool {
+        let Some(entry) = self.map.get_mut(id) else { return true };
+        if entry.worker.phase == Phase::Silent && calls > entry.worker.calls {
+            return true;
+        }
+        if calls > entry.worker.calls {
+            entry.worker.calls = calls;
+            entry.heard = now;
+        }
+        false
+    }
+
+    /// All were heard of just now: the machine itself was away, and nobody's silence counts.
+    pub fn excuse(&mut self, now: f64) {
+        self.map.values_mut().for_each(|e| e.heard = now);
+    }
+
+    /// Workers that were silent for longer than `most`: they are held as silent from now on, and returned.
+    pub fn expire(&mut self, now: f64, most: f64, keep: f64) -> Vec<Worker> {
+        let late = self.map.values().filter(|e| e.worker.phase <= Phase::Decaying && now - e.heard > most);
+        let late: Vec<Worker> = late.map(|e| Worker { phase: Phase::Silent, ..e.worker.clone() }).collect();
+        for worker in &late {
+            if let Some(entry) = self.map.get_mut(&worker.id) {
+                self.digest ^= Self::counts(&entry.worker);
+                entry.worker.phase = Phase::Silent;
+            }
+            self.forget_later(now + keep, Arc::clone(&worker.id));
+        }
+        late
+    }
+
+    /// Forgets those that ended long ago.
+    pub fn sweep(&mut self, now: f64) {
+        while let Some(first) = self.ended.first_entry().filter(|e| (*e.key() as f64) < now * 1e3) {
+            for id in first.remove() {
+                let ended = self.map.get(&id).is_some_and(|e| e.worker.phase > Phase::Decaying);
+                if ended {
+                    self.map.remove(&id);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/toolroom/src/store.rs
@@ -0,0 +1,126 @@
+//! Owns what the core keeps on its disk, in SQLite: items, the core machines that were met, and the mark that the
+//! system has begun. One thread writes; whoever waits hears once all is synced. It must never report what isn't.
+
+use crate::config::Item;
+use crate::wire::Member;
+use rusqlite::{params, Connection};
+use std::path::Path;
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// Why the disk can't be used.
+#[derive(Debug, displaydoc::Display)]
+pub enum StoreError {
+    /// the database: {0}
+    Database(rusqlite::Error),
+    /// a row that can't be read: {0}
+    Row(String),
+}
+
+impl std::error::Error for StoreError {}
+
+impl From<rusqlite::Error> for StoreError {
+    fn from(e: rusqlite::Error) -> Self {
+        StoreError::Database(e)
+    }
+}
+
+/// What the disk held at the start.
+#[derive(Debug, Default)]
+pub struct Held {
+    /// Items, dropped ones too.
+    pub items: Vec<Item>,
+    /// Core machines.
+    pub members: Vec<Member>,
+    /// Was anything ever written here?
+    pub begun: bool,
+}
+
+/// Something to write.
+#[derive(Debug)]
+pub struct Put {
+    /// Its number; numbers rise.
+    pub number: u64,
+    /// Items: the highest version stays.
+    pub items: Vec<Item>,
+    /// Core machines; none: as they were.
+    pub members: Vec<Member>,
+}
+
+/// The database in a folder.
+pub struct Store {
+    db: Connection,
+}
+
+impl Store {
+    /// Opens it and reads what it holds.
+    pub fn open(folder: &Path) -> Result<(Self, Held), StoreError> {
+        let db = Connection::open(folder.join("toolroom.sqlite"))?;
+        // One process at a time, so the log of writes needs no shared memory; each commit is synced.
+        db.pragma_update(None, "locking_mode", "EXCLUSIVE")?;
+        db.pragma_update(None, "journal_mode", "WAL")?;
+        db.pragma_update(None, "synchronous", "FULL")?;
+        db.pragma_update(None, "wal_autocheckpoint", 200)?;
+        db.pragma_update(None, "cache_size", -512)?;
+        db.execute_batch(
+            "CREATE TABLE IF NOT EXISTS items (kind TEXT, label TEXT, version INTEGER, item BLOB,
+                 PRIMARY KEY (kind, label)) WITHOUT ROWID;
+             CREATE TABLE IF NOT EXISTS members (ip TEXT PRIMARY KEY, member BLOB) WITHOUT ROWID;",
+        )?;
+        let mut held = Held::default();
+        let blobs = |sql: &str| -> Result<Vec<Vec<u8>>, StoreError> {
+            let mut statement = db.prepare(sql)?;
+            let rows = statement.query_map([], |row| row.get(0))?;
+            Ok(rows.collect::<Result<_, _>>()?)
+        };
+        for blob in blobs("SELECT item FROM items")? {
+            held.items.push(rmp_serde::from_slice(&blob).map_err(|e| StoreError::Row(e.to_string()))?);
+        }
+        for blob in blobs("SELECT member FROM members")? {
+            held.members.push(rmp_serde::from_slice(&blob).map_err(|e| StoreError::Row(e.to_string()))?);
+        }
+        held.begun = !held.items.is_empty() || !held.members.is_empty();
+        Ok((Store { db }, held))
+    }
+
+    /// Writes several puts in one transaction, synced when this returns.
+    pub fn write(&mut self, puts: &[Put]) -> Result<(), StoreError> {
+        let tx = self.db.transaction()?;
+        for put in puts {
+            for item in &put.items {
+                let blob = rmp_serde::to_vec(item).map_err(|e| StoreError::Row(e.to_string()))?;
+                tx.execute(
+                    "INSERT INTO items VALUES (?1, ?2, ?3, ?4) ON CONFLICT (kind, label) DO UPDATE
+                     SET version = excluded.version, item = excluded.item WHERE excluded.version > version",
+                    params![item.kind.list(), item.label, item.version as i64, blob],
+                )?;
+            }
+            for member in &put.members {
+                let blob = rmp_serde::to_vec(member).map_err(|e| StoreError::Row(e.to_string()))?;
+                tx.execute(
+                    "INSERT OR REPLACE INTO members VALUES (?1, ?2)",
+                    params![member.ip.to_string(), blob],
+                )?;
+            }
+        }
+        tx.commit()?;
+        Ok(())
+    }
+
+    /// Writes what comes, as much at a time as has come, on a thread of its own; `synced` hears of the last number.
+    pub fn serve(mut self, synced: impl Fn(u64) + Send + 'static) -> mpsc::Sender<Put> {
+        let (sender, puts) = mpsc::channel::<Put>();
+        std::thread::spawn(move || {
+            while let Ok(first) = puts.recv() {
+                let batch: Vec<Put> = std::iter::once(first).chain(puts.try_iter()).collect();
+                let last = batch.last().map_or(0, |p| p.number);
+                while let Err(error) = self.write(&batch) {
+                    tracing::warn!(%error, "the disk refuses a write; trying again");
+                    std::thread::sleep(Duration::from_millis(100));
+                }
+                synced(last);
+            }
+        });
+        sender
+    }
+}
--- /dev/null
+++ b/toolroom/src/wire.rs
@@ -0,0 +1,205 @@
+//! Owns what the system's own processes say to each other, in MessagePack (`rmp-serde`), each message with its length
+//! ahead. It must never decide anything.
+
+use crate::config::Item;
+use crate::registry::Worker;
+use bytes::{Buf, BytesMut};
+use serde::{Deserialize, Serialize};
+use std::net::IpAddr;
+
+/// No message is longer.
+pub const MESSAGE_MOST: usize = 8 * 1024 * 1024;
+
+/// A core machine, as the others know it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// Its address, which is its name among the core.
+    pub ip: IpAddr,
+    /// Its zone; empty where only its address is known.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+}
+
+/// What a gatekeeper tells the counter of one tenant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Charge {
+    /// Whose.
+    pub tenant: String,
+    /// Units charged in this life of the gatekeeper, less those taken back.
+    pub charged: i64,
+    /// Requests a second that ask here, admitted or not.
+    pub asks: f32,
+    /// Standing share that it holds, units a second.
+    pub share: f32,
+    /// Requests that wait for this.
+    pub waits: u32,
+}
+
+/// What the counter says of one tenant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Total {
+    /// Whose.
+    pub tenant: String,
+    /// Units in the window over all gatekeepers, as last added.
+    pub total: f32,
+    /// The gatekeeper may charge up to so many units of its life.
+    pub until: i64,
+    /// Its standing share for when the counter can't be reached, units a second.
+    pub share: f32,
+    /// Milliseconds until there is room again; 0: there is room.
+    pub empty_ms: u32,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Msg {
+    /// The first on a connection: who calls. `life` differs for every start of a process.
+    Hello {
+        /// The machine's name.
+        node: String,
+        /// The start.
+        life: u64,
+        /// Set where a core machine calls.
+        member: Option<Member>,
+    },
+    /// Core machines that are known.
+    Members(Vec<Member>),
+    /// Sent in each direction while nothing else is: digests of configuration and workers as held.
+    Ping {
+        /// Of the items.
+        config: u64,
+        /// Of the workers.
+        workers: u64,
+    },
+    /// The answer of a core machine: who holds the counter, and how many gatekeepers there are.
+    Pong {
+        /// The holder, if one is known.
+        holder: Option<IpAddr>,
+        /// Gatekeepers seen lately.
+        gates: u32,
+        /// Core machines that are known.
+        core: u32,
+    },
+    /// Items, for whoever lacks them.
+    Items(Vec<Item>),
+    /// Workers whose state is news.
+    Workers(Vec<Worker>),
+    /// All workers that a core machine knows; `settled`: who is not among them is gone.
+    AllWorkers {
+        /// The workers.
+        workers: Vec<Worker>,
+        /// Has it listened for long enough?
+        settled: bool,
+    },
+    /// Workers that were heard of lately, by id and call count.
+    Alive(Vec<(String, u64)>),
+    /// Workers' news that the sender wants to know to be held.
+    Hold {
+        /// Comes back.
+        ask: u64,
+        /// The news.
+        workers: Vec<Worker>,
+    },
+    /// It is held, in memory.
+    Held {
+        /// As asked.
+        ask: u64,
+    },
+    /// Which items do you hold? Told with the digest of one's own.
+    Query {
+        /// Comes back.
+        ask: u64,
+        /// Of the items of who asks.
+        digest: u64,
+    },
+    /// All items, where digests differ; else nothing.
+    Holding {
+        /// As asked.
+        ask: u64,
+        /// The items.
+        items: Vec<Item>,
+        /// Has the sender itself caught up since its start?
+        caught_up: bool,
+    },
+    /// Keep these items on your disk.
+    Put {
+        /// Comes back.
+        ask: u64,
+        /// The items.
+        items: Vec<Item>,
+    },
+    /// These items, or newer ones, are on the disk, synced.
+    Synced {
+        /// As asked.
+        ask: u64,
+    },
+    /// May I hold the counter?
+    Claim {
+        /// Comes back.
+        ask: u64,
+    },
+    /// Nobody else will be let for so long, or (`None`) somebody else holds a promise.
+    Promise {
+        /// As asked.
+        ask: u64,
+        /// For so many milliseconds from the claim's arrival.
+        ms: Option<u32>,
+    },
+    /// Standing shares as the holder gave them, for whoever holds the counter next.
+    Shares(crate::counter::Shares),
+    /// The holder goes; promises to it are void.
+    Yield,
+    /// Charges of a gatekeeper.
+    Sync {
+        /// Comes back.
+        ask: u64,
+        /// By tenant.
+        charges: Vec<Charge>,
+    },
+    /// What holds now; `held`: false where the asked one does not hold the counter.
+    Totals {
+        /// As asked.
+        ask: u64,
+        /// Does it hold the counter?
+        held: bool,
+        /// By tenant.
+        totals: Vec<Total>,
+    },
+}
+
+/// Why bytes are no message.
+#[derive(Debug, displaydoc::Display)]
+pub enum WireError {
+    /// a message of {0} bytes
+    TooLong(usize),
+    /// not a message: {0}
+    Unreadable(rmp_serde::decode::Error),
+}
+
+/// A message as it goes on the wire.
+pub fn encode(msg: &Msg) -> Vec<u8> {
+    let mut out = vec![0; 4];
+    // Writing to memory can't fail for these types.
+    if rmp_serde::encode::write(&mut out, msg).is_err() {
+        return Vec::new();
+    }
+    let length = (out.len() - 4) as u32;
+    out[..4].copy_from_slice(&length.to_be_bytes());
+    out
+}
+
+/// The next whole message, if there is one.
+pub fn decode(read: &mut BytesMut) -> Result<Option<Msg>, WireError> {
+    let Some(head) = read.first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if length > MESSAGE_MOST {
+        return Err(WireError::TooLong(length));
+    }
+    if read.len() < 4 + length {
+        return Ok(None);
+    }
+    read.advance(4);
+    let body = read.split_to(length);
+    rmp_serde::from_slice(&body).map(Some).map_err(WireError::Unreadable)
+}
