Counter that met strangers keeps their shares as they are: they shrank at every sync

Cause: while a new holder knew of inherited shares only, each sync took the smaller of the share and today's fair part, so shares ratcheted down and with them the rate that was granted (refused 24 to 66% after the whole core was killed). Change: shares stay until all can be known.

--- a/toolroom/src/counter.rs
+++ b/toolroom/src/counter.rs
@@ -226,9 +226,9 @@
         let grant = (window.store * fair).min(need).max(least).floor().max(0.0);
         window.store -= grant;
         part.until = part.charged + grant as i64;
-        // Its standing share, within what the others hold. Who has not met all can't tell what is free.
+        // Its standing share, within what the others hold. Who has not met all can't tell what is free: shares stay.
         let wanted = (limit.rate * fair).min((limit.rate - others).max(0.0));
-        part.share = if known { wanted } else { wanted.min(part.share) };
+        part.share = if known { wanted } else { part.share };
         let room = if window.store >= 1.0 || grant > 0.0 { 0.0 } else { (1.0 - window.store) / limit.rate };
         Some(Total {
             tenant: charge.tenant.clone(),
