--- a/toolroom/src/main.rs
+++ b/toolroom/src/main.rs
@@ -15,6 +15,8 @@
 mod quota;
 mod registry;
 mod settings;
+#[cfg(test)]
+mod sim;
 mod store;
 mod wire;
 
--- /dev/null
+++ b/toolroom/src/sim/actors.rs
@@ -0,0 +1,382 @@
+//! Workers, clients and the operator, as PROTOCOL has them.
+
+use super::{Call, Caller, Ev, Hit, World};
+use crate::config::{read_call, Kind};
+use crate::core::{self, Command};
+use crate::edge::desk::{Answer, Arrival};
+use crate::registry::{Phase, Worker};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use whinstall::{Ending, HostId, RequestId};
+
+/// A worker.
+pub struct Wk {
+    pub id: Arc<str>,
+    pub service: usize,
+    pub zone: String,
+    pub address: SocketAddr,
+    pub alive: bool,
+    pub dark: bool,
+    pub phase: Phase,
+    pub calls: u64,
+    pub core: usize,
+    pub busy: usize,
+    pub queue: VecDeque<Hit>,
+    pub acked: Option<f64>,
+    departing: bool,
+}
+
+pub const SERVICES: [&str; 3] = ["planer", "lathe", "drill"];
+const SLOTS: usize = 3;
+const QUEUE: usize = 4;
+
+impl Wk {
+    pub fn new(n: usize, service: usize, zone: &str) -> Self {
+        Wk {
+            id: format!("i-{n}").into(),
+            service,
+            zone: zone.into(),
+            address: ([10, 9, 0, n as u8 + 1], 80).into(),
+            alive: true,
+            dark: false,
+            phase: Phase::Settled,
+            calls: 0,
+            core: n,
+            busy: 0,
+            queue: VecDeque::new(),
+            acked: None,
+            departing: false,
+        }
+    }
+
+    pub fn leaves(&mut self) {
+        self.phase = Phase::Decaying;
+    }
+}
+
+/// The operator.
+#[derive(Default)]
+pub struct Operator {
+    step: u64,
+    version: u64,
+    core: usize,
+    pub read: Option<u16>,
+    pub done: bool,
+}
+
+impl World {
+    // Calls to the core.
+
+    fn call(&mut self, core: usize, by: Caller) {
+        let id = self.rng.u64(..);
+        let core = core % self.cores.len();
+        let call = Call { id, core, by };
+        self.calls.insert(id, call.clone());
+        let delay = self.delay();
+        self.after(delay, Ev::CallArrives(core, call));
+        self.after(1.0, Ev::CallLate(id));
+    }
+
+    pub fn call_arrives(&mut self, core: usize, call: Call) {
+        if self.cores[core].core.is_none() || self.cores[core].frozen {
+            return;
+        }
+        let command = match &call.by {
+            Caller::Beat(n) => Command::Beat(self.say_of(*n)),
+            Caller::Depart(n) => Command::Departure(self.workers[*n].id.to_string()),
+            Caller::Amend(items) => Command::Amend(items.clone()),
+            Caller::Read => Command::Read,
+        };
+        self.pending.insert((core, call.id), call.id);
+        self.core_event(core, core::Event::Call(call.id, command));
+    }
+
+    fn say_of(&mut self, n: usize) -> Worker {
+        let w = &self.workers[n];
+        Worker {
+            id: Arc::clone(&w.id),
+            service: SERVICES[w.service].into(),
+            address: w.address,
+            zone: w.zone.as_str().into(),
+            capacity: SLOTS as u32,
+            phase: w.phase,
+            warmup_ms: 0,
+            calls: w.calls,
+        }
+    }
+
+    pub fn replied(&mut self, core: usize, call: u64, status: u16, body: &serde_json::Value) {
+        let Some(id) = self.pending.remove(&(core, call)) else { return };
+        let Some(call) = self.calls.get(&id).cloned() else { return };
+        if let (Caller::Read, 200) = (&call.by, status) {
+            self.audit.read_back(self.now, body);
+        }
+        if let (Caller::Beat(n), 200) = (&call.by, status) {
+            if self.workers[*n].phase == Phase::Decaying && self.workers[*n].acked.is_none() {
+                self.workers[*n].acked = Some(self.now);
+                self.audit.leaving(&self.workers[*n].id, self.now);
+            }
+        }
+        if let (Caller::Amend(items), 200) = (&call.by, status) {
+            self.audit.acknowledged(self.now, items);
+        }
+        let delay = self.delay();
+        self.after(delay, Ev::CallBack(call, status));
+    }
+
+    pub fn call_back(&mut self, call: Call, status: u16) {
+        if self.calls.remove(&call.id).is_none() {
+            return;
+        }
+        if status != 200 && status != 400 {
+            return self.call_failed(call);
+        }
+        match call.by {
+            Caller::Beat(n) => {
+                let leaving = self.workers[n].phase == Phase::Decaying && self.workers[n].acked.is_some();
+                if leaving && !self.workers[n].departing {
+                    self.workers[n].departing = true;
+                    self.after(2.8, Ev::Depart(n));
+                }
+                let wait = 1.4 + 0.2 * self.rng.f64();
+                self.after(wait, Ev::Beat(n));
+            }
+            Caller::Depart(_) => {}
+            Caller::Amend(_) if status == 400 => panic!("a valid change was refused"),
+            Caller::Amend(_) => {
+                let wait = 0.3 + 0.8 * self.rng.f64();
+                self.after(wait, Ev::Operate);
+            }
+            Caller::Read => self.operator.read = Some(status),
+        }
+    }
+
+    pub fn call_failed(&mut self, call: Call) {
+        let pause = 0.1 + 0.2 * self.rng.f64();
+        match call.by {
+            Caller::Beat(n) => {
+                self.workers[n].core = call.core + 1;
+                self.after(0.01, Ev::Beat(n));
+            }
+            Caller::Depart(_) => {}
+            // Unchanged, to another one.
+            Caller::Amend(items) => {
+                let core = call.core + 1;
+                self.now += 0.0;
+                self.calls.remove(&call.id);
+                let at = self.now + pause;
+                let id = self.rng.u64(..);
+                let core = core % self.cores.len();
+                let call = Call { id, core, by: Caller::Amend(items) };
+                self.calls.insert(id, call.clone());
+                self.at(at, Ev::CallArrives(core, call));
+                self.at(at + 1.0, Ev::CallLate(id));
+            }
+            Caller::Read => self.call(call.core + 1, Caller::Read),
+        }
+    }
+
+    pub fn read_back(&mut self) {
+        self.operator.done = true;
+        self.call(0, Caller::Read);
+    }
+
+    pub fn beat(&mut self, n: usize) {
+        if !self.workers[n].alive {
+            return;
+        }
+        self.workers[n].calls += 1;
+        let core = self.workers[n].core;
+        self.call(core, Caller::Beat(n));
+    }
+
+    pub fn depart(&mut self, n: usize) {
+        let core = self.workers[n].core;
+        self.call(core, Caller::Depart(n));
+        self.workers[n].alive = false;
+        // Its address goes to a new worker of another service.
+        let (service, address, zone) = ((self.workers[n].service + 1) % 3, self.workers[n].address, "b");
+        let fresh = self.workers.len();
+        let mut worker = Wk::new(fresh, service, zone);
+        worker.address = address;
+        self.workers.push(worker);
+        self.after(2.0, Ev::Beat(fresh));
+    }
+
+    // The operator.
+
+    pub fn operate(&mut self) {
+        if self.operator.done {
+            return;
+        }
+        let (step, version) = (self.operator.step, self.operator.version + 1 + self.rng.u64(0..3));
+        (self.operator.step, self.operator.version) = (step + 1, version);
+        let route = |label: &str, path: &str, class: &str, service: &str| {
+            serde_json::json!([label, "shop.example", path, class, "1000ms", "400ms", 1, 2, service, format!("r{version}")])
+        };
+        let columns = ["label", "hostname", "path_prefix", "route_class", "cutoff", "target", "rank", "max_attempts"];
+        let columns: Vec<&str> = columns.into_iter().chain(["service_ref", "revision"]).collect();
+        let rev = format!("r{version}");
+        let body = if step == 0 {
+            let services: Vec<_> = SERVICES.iter().map(|s| serde_json::json!([s, "/health", rev])).collect();
+            let quota = self.plan.quota;
+            serde_json::json!({"upsert": {
+                "route_set": {"columns": columns, "records": [
+                    route("r-read", "/read/", "idempotent", "planer"),
+                    route("r-write", "/write/", "effectful", "lathe"),
+                    route("r-flip", "/flip/", "effectful", "drill"),
+                ]},
+                "tenant_set": {"columns": ["label", "credentials", "rate_per_s", "burst_size", "revision"], "records": [
+                    ["big", ["key-big"], quota, quota, rev], ["small", ["key-small"], 4, 4, rev],
+                    ["free", ["key-free"], null, null, rev],
+                ]},
+                "service_set": {"columns": ["label", "probe_path", "revision"], "records": services},
+                "saturation": {"header_max_bytes": 16384, "revision": rev},
+            }})
+        } else {
+            let service = SERVICES[(step % 2 + 1) as usize];
+            let added = format!("r-{step}");
+            serde_json::json!({"upsert": {"route_set": {"columns": columns, "records": [
+                route("r-flip", "/flip/", "effectful", service),
+                route(&added, &format!("/{step}/"), "idempotent", "planer"),
+            ]}}, "remove": {"route_set": [{"label": format!("r-{}", step / 2), "revision": rev}]}})
+        };
+        let items = read_call(body.to_string().as_bytes()).expect("a valid call");
+        for item in items.iter().filter(|i| i.kind == Kind::Route && i.label == "r-flip") {
+            let service = item.body.as_ref().and_then(|b| b.get("service_ref")).and_then(|s| s.as_str());
+            self.audit.sent(item.version, service.unwrap_or_default());
+        }
+        let core = self.operator.core + self.rng.usize(0..3);
+        self.call(core, Caller::Amend(items));
+    }
+
+    // Clients.
+
+    pub fn ask(&mut self) {
+        let hot = if self.now < self.hot.0 { self.hot.1 } else { 1.0 };
+        let big = 0.4 * hot;
+        let all = big + 0.6;
+        let wait = -(1.0 - self.rng.f64()).ln() / (self.plan.rate * all);
+        self.after(wait, Ev::Ask);
+        let draw = self.rng.f64() * all;
+        let key = if draw < big { "key-big" } else if draw < big + 0.05 { "key-small" } else { "key-free" };
+        let path = ["/read/x", "/write/x", "/flip/x"][self.rng.usize(0..3)];
+        let ready = |n: &usize| self.edges[*n].edge.as_ref().is_some_and(|e| e.is_ready());
+        let edges: Vec<usize> = (0..self.edges.len()).filter(ready).filter(|n| !self.edges[*n].frozen).collect();
+        if edges.is_empty() {
+            return;
+        }
+        let n = edges[self.rng.usize(0..edges.len())];
+        let request = self.audit.asked(self.now, n, self.edges[n].life, key, path);
+        let id = RequestId(request.to_string().into());
+        let life = self.edges[n].life;
+        self.asked.insert((n, life, id.clone()), request);
+        let mut turned = false;
+        self.edge_call(n, |edge, now, out| {
+            let view = Arc::clone(&edge.view);
+            let Some(route) = view.route("shop.example:80", path).cloned() else {
+                turned = true;
+                return;
+            };
+            let Some(tenant) = view.tenant(key).cloned() else {
+                turned = true;
+                return;
+            };
+            edge.arrived(now, Arrival { id: id.clone(), route, tenant: Some(tenant), left: 1.0 }, out);
+        });
+        if turned {
+            self.audit.turned_back(request);
+        }
+    }
+
+    pub fn dispatched(&mut self, n: usize, life: u64, id: RequestId, attempt: u32, worker: HostId, within: f64) {
+        let Some(request) = self.asked.get(&(n, life, id.clone())).copied() else { return };
+        let Some(index) = self.workers.iter().position(|w| w.id == worker.0) else { return };
+        let hit = Hit { edge: n, life, id: id.clone(), attempt, worker: index, host: worker, request };
+        self.open.insert((n, life, id, attempt));
+        let delay = self.delay();
+        self.after(delay, Ev::Arrive(hit.clone()));
+        self.after(within, Ev::Ended(hit, Ending::Timeout, false));
+    }
+
+    pub fn called_off(&mut self, n: usize, life: u64, id: RequestId, attempt: u32) {
+        let Some(request) = self.asked.get(&(n, life, id.clone())).copied() else { return };
+        let hit = Hit { edge: n, life, id, attempt, worker: 0, host: HostId("".into()), request };
+        self.after(0.0, Ev::Ended(hit, Ending::Cancelled, false));
+    }
+
+    /// A request reaches the address where its worker was.
+    pub fn arrive(&mut self, hit: Hit) {
+        let back = self.delay();
+        let address = self.workers[hit.worker].address;
+        let Some(there) = self.workers.iter().rposition(|w| w.address == address && (w.alive || w.dark)) else {
+            return self.after(back, Ev::Ended(hit, Ending::ConnectFailed, false));
+        };
+        if self.workers[there].dark {
+            return self.after(0.2, Ev::Ended(hit, Ending::ConnectFailed, false));
+        }
+        if there != hit.worker {
+            return self.after(back, Ev::Ended(hit, Ending::Full, true));
+        }
+        let edge = &self.edges[hit.edge];
+        let in_touch = self.now > edge.trouble && self.now > self.unsettled;
+        self.audit.arrives(self.now, &hit, &self.workers[there].id, in_touch);
+        let w = &mut self.workers[there];
+        if w.busy < SLOTS {
+            self.run(there, hit);
+        } else if w.queue.len() < QUEUE {
+            w.queue.push_back(hit);
+        } else {
+            self.after(back, Ev::Ended(hit, Ending::Full, false));
+        }
+    }
+
+    fn run(&mut self, n: usize, hit: Hit) {
+        self.workers[n].busy += 1;
+        let edge = &self.edges[hit.edge];
+        let calm = self.now > edge.trouble && self.now > self.unsettled;
+        self.audit.runs(self.now, &hit, SERVICES[self.workers[n].service], calm);
+        let work = 0.03 + 0.06 * self.rng.f64();
+        self.after(work, Ev::Finish(n, hit));
+    }
+
+    pub fn finish(&mut self, n: usize, hit: Hit) {
+        let lost = self.rng.f64() < self.plan.lost_answers;
+        let w = &mut self.workers[n];
+        w.busy -= 1;
+        let (alive, next) = (w.alive, w.queue.pop_front());
+        if let Some(next) = next.filter(|_| alive) {
+            self.run(n, next);
+        }
+        let back = self.delay();
+        let ending = if lost || !alive { Ending::Reset } else { Ending::Ok };
+        self.after(back, Ev::Ended(hit, ending, false));
+    }
+
+    pub fn ended(&mut self, hit: Hit, ending: Ending, misdirected: bool) {
+        if !self.open.remove(&(hit.edge, hit.life, hit.id.clone(), hit.attempt)) {
+            return;
+        }
+        if self.edges[hit.edge].life != hit.life || self.edges[hit.edge].edge.is_none() {
+            return;
+        }
+        if self.edges[hit.edge].frozen {
+            self.open.insert((hit.edge, hit.life, hit.id.clone(), hit.attempt));
+            return self.after(0.05, Ev::Ended(hit, ending, misdirected));
+        }
+        let whole = (ending == Ending::Ok).then_some(true);
+        self.edge_call(hit.edge, |edge, now, out| {
+            if misdirected {
+                edge.misdirected(now, &hit.host, out);
+            }
+            edge.ended(now, &hit.id, hit.attempt, &hit.host, ending, whole, out);
+        });
+    }
+
+    pub fn answered(&mut self, n: usize, life: u64, id: RequestId, answer: Answer) {
+        if let Some(request) = self.asked.get(&(n, life, id)) {
+            self.audit.answered(self.now, *request, &answer);
+        }
+    }
+}
--- /dev/null
+++ b/toolroom/src/sim/audit.rs
@@ -0,0 +1,212 @@
+//! The auditor: what RULES forbids, by what workers, clients and the operator saw.
+
+use super::{Hit, Plan};
+use crate::config::{Item, Kind};
+use crate::edge::desk::Answer;
+use std::collections::{BTreeMap, HashMap};
+
+const DRAIN: f64 = 2.5;
+const SETTLE: f64 = 2.5;
+const HORIZON: f64 = 5.0;
+const WINDOW: f64 = 10.0;
+
+struct Asked {
+    at: f64,
+    key: &'static str,
+    path: &'static str,
+    runs: u32,
+    answer: Option<u16>,
+    arrivals: u32,
+}
+
+pub struct Audit {
+    asked: Vec<Asked>,
+    quotas: HashMap<&'static str, f64>,
+    /// Runs by key.
+    runs: HashMap<&'static str, Vec<f64>>,
+    /// Arrivals beyond the first of each request, and requests, by path.
+    further: HashMap<&'static str, Vec<f64>>,
+    leaving: HashMap<String, f64>,
+    /// Services of the route that flips, by version.
+    flips: BTreeMap<u64, String>,
+    acked: Vec<(f64, Item)>,
+    /// Newest flip version that an edge's life was seen to serve by.
+    seen: HashMap<(usize, u64), u64>,
+    pub broken: Vec<String>,
+    pub read: Option<serde_json::Value>,
+    pub read_at: f64,
+}
+
+impl Audit {
+    pub fn new(plan: &Plan) -> Self {
+        Audit {
+            asked: Vec::new(),
+            quotas: HashMap::from([("key-big", plan.quota), ("key-small", 4.0)]),
+            runs: HashMap::new(),
+            further: HashMap::new(),
+            leaving: HashMap::new(),
+            flips: BTreeMap::new(),
+            acked: Vec::new(),
+            seen: HashMap::new(),
+            broken: Vec::new(),
+            read: None,
+            read_at: 0.0,
+        }
+    }
+
+    pub fn asked(&mut self, at: f64, _: usize, _: u64, key: &'static str, path: &'static str) -> u64 {
+        self.asked.push(Asked { at, key, path, runs: 0, answer: None, arrivals: 0 });
+        self.asked.len() as u64 - 1
+    }
+
+    pub fn turned_back(&mut self, request: u64) {
+        self.asked[request as usize].answer = Some(404);
+    }
+
+    pub fn edge_died(&mut self, edge: usize, life: u64) {
+        self.seen.remove(&(edge, life));
+    }
+
+    pub fn sent(&mut self, version: u64, service: &str) {
+        self.flips.insert(version, service.into());
+    }
+
+    pub fn acknowledged(&mut self, at: f64, items: &[Item]) {
+        self.acked.extend(items.iter().map(|i| (at, i.clone())));
+    }
+
+    pub fn leaving(&mut self, worker: &str, at: f64) {
+        self.leaving.insert(worker.into(), at);
+    }
+
+    pub fn arrives(&mut self, now: f64, hit: &Hit, worker: &str, in_touch: bool) {
+        let asked = &mut self.asked[hit.request as usize];
+        asked.arrivals += 1;
+        if asked.arrivals > 1 {
+            self.further.entry(asked.path).or_default().push(now);
+        }
+        let left = self.leaving.get(worker).filter(|at| now - **at > DRAIN);
+        if let Some(at) = left.filter(|_| in_touch) {
+            self.broken.push(format!("DRAIN {now:.3}: {worker} left at {at:.3}, edge {}", hit.edge));
+        }
+    }
+
+    pub fn runs(&mut self, now: f64, hit: &Hit, service: &str, calm: bool) {
+        let asked = &mut self.asked[hit.request as usize];
+        asked.runs += 1;
+        let effectful = asked.path != "/read/x";
+        if effectful && asked.runs > 1 {
+            self.broken.push(format!("TWICE {now:.3}: request {} on {}", hit.request, asked.path));
+        }
+        if effectful && matches!(asked.answer, Some(429 | 503)) {
+            self.broken.push(format!("REFUSED {now:.3}: request {} runs after its refusal", hit.request));
+        }
+        self.runs.entry(asked.key).or_default().push(now);
+        if asked.path != "/flip/x" {
+            return;
+        }
+        // By which versions may this have been sent there?
+        let (sent, edge) = (asked.at, (hit.edge, hit.life));
+        let settled = self.acked.iter().filter(|(at, i)| sent > at + SETTLE && i.kind == Kind::Route && i.label == "r-flip");
+        let settled = settled.map(|(_, i)| i.version).max().filter(|_| calm).unwrap_or(0);
+        let floor = settled.max(self.seen.get(&edge).copied().unwrap_or(0));
+        let allowed: Vec<u64> = self.flips.range(floor..).filter(|(_, s)| *s == service).map(|(v, _)| *v).collect();
+        match allowed.first() {
+            None => self.broken.push(format!("CONFIG {now:.3}: edge {} sends to {service}, floor r{floor}", hit.edge)),
+            Some(oldest) => {
+                // Requests in flight overlap: only what was surely seen counts.
+                let _ = self.seen.entry(edge).and_modify(|v| *v = (*v).max(*oldest)).or_insert(*oldest);
+            }
+        }
+    }
+
+    pub fn answered(&mut self, now: f64, request: u64, answer: &Answer) {
+        let asked = &mut self.asked[request as usize];
+        let status = match answer {
+            Answer::Worker(_) => 200,
+            Answer::Limited(_) => 429,
+            Answer::Refused(_) => 503,
+            Answer::Failed => 502,
+            Answer::TimedOut => 504,
+            Answer::Nobody => return,
+        };
+        if asked.answer.replace(status).is_some() {
+            self.broken.push(format!("{now:.3}: request {request} is answered twice"));
+        }
+        if asked.path != "/read/x" && asked.runs > 0 && matches!(status, 429 | 503) {
+            self.broken.push(format!("REFUSED {now:.3}: request {request} has run"));
+        }
+        if now - asked.at > 1.05 {
+            self.broken.push(format!("{now:.3}: request {request} is answered after {:.3}", now - asked.at));
+        }
+    }
+
+    pub fn read_back(&mut self, now: f64, body: &serde_json::Value) {
+        (self.read, self.read_at) = (Some(body.clone()), now);
+    }
+
+    /// Parts of requests from then on that were served, and refused beyond a quota.
+    pub fn served(&self, from: f64, to: f64, key: &str) -> f64 {
+        let all = self.asked.iter().filter(|a| a.at >= from && a.at < to && a.key == key);
+        let (ok, all) = all.fold((0, 0), |(ok, all), a| (ok + u32::from(a.answer == Some(200)), all + 1));
+        f64::from(ok) / f64::from(all.max(1))
+    }
+
+    /// The most units that ran in a horizon, over what the rule allows.
+    pub fn quota_use(&self) -> f64 {
+        let used = |(key, runs): (&&'static str, &Vec<f64>)| {
+            let quota = self.quotas.get(key)?;
+            let most = (quota * HORIZON + quota) * 1.1 + 20.0;
+            let counts = runs.iter().map(|at| runs.iter().filter(|r| **r >= *at && **r < at + HORIZON).count());
+            Some(counts.max()? as f64 / most)
+        };
+        self.runs.iter().filter_map(used).fold(0.0, f64::max)
+    }
+
+    /// What can be told only at the end.
+    pub fn close(&mut self) {
+        if self.quota_use() > 1.0 {
+            self.broken.push(format!("QUOTA: {:.2} of what is allowed", self.quota_use()));
+        }
+        for (path, further) in &self.further {
+            for at in further {
+                let within = |t: f64| t >= *at && t < at + WINDOW;
+                let more = further.iter().filter(|t| within(**t)).count() as f64;
+                let asked = self.asked.iter().filter(|a| a.path == *path && within(a.at)).count() as f64;
+                if more > 0.2 * asked + 62.0 {
+                    self.broken.push(format!("BUDGET {at:.3}: {more} further tries for {asked} requests on {path}"));
+                    break;
+                }
+            }
+        }
+        let Some(read) = &self.read else {
+            self.broken.push("nothing was read back".into());
+            return;
+        };
+        let mut newest: BTreeMap<(Kind, String), Item> = BTreeMap::new();
+        for (_, item) in self.acked.iter().filter(|(at, _)| *at < self.read_at) {
+            let held = newest.entry((item.kind, item.label.clone())).or_insert_with(|| item.clone());
+            if held.version < item.version {
+                *held = item.clone();
+            }
+        }
+        for ((kind, label), item) in newest {
+            let list = &read[kind.list()];
+            let at = |name: &str| list["columns"].as_array()?.iter().position(|c| c == name);
+            let (Some(name), Some(version)) = (at("label"), at("revision")) else { continue };
+            let mut rows = list["records"].as_array().into_iter().flatten();
+            let row = rows.find(|r| r[name] == label.as_str());
+            let told = row.and_then(|r| r[version].as_str()?.strip_prefix('r')?.parse::<u64>().ok());
+            let good = match (&item.body, told) {
+                (Some(_), Some(told)) => told >= item.version,
+                (None, Some(told)) => told > item.version,
+                // Dropped since, by a call that got no clear answer, or as it should be.
+                (Some(_), None) => false,
+                (None, None) => true,
+            };
+            if !good {
+                self.broken.push(format!("CONFIG: {label} r{} was acknowledged, {told:?} is read", item.version));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/toolroom/src/sim/mod.rs
@@ -0,0 +1,598 @@
+//! A whole cluster in one process, on a simulated network, clock and disk: the state machines of the programs
+//! themselves, with workers, clients and an operator as PROTOCOL has them, and an auditor for the rules. Every run is
+//! told by its seed.
+
+mod actors;
+mod audit;
+mod net;
+mod stories;
+
+use crate::config::Item;
+use crate::core::{self, Core};
+use crate::edge::{self, Edge};
+use crate::settings::{Settings, Tolerance};
+use crate::wire::{Member, Msg};
+use actors::{Operator, Wk};
+use audit::Audit;
+use net::{LinkKey, Links, Who};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::{IpAddr, Ipv4Addr};
+
+/// What is to happen.
+#[derive(Debug)]
+pub enum Ev {
+    CoreTick(usize, u64),
+    EdgeTick(usize, u64),
+    Dial(LinkKey, u64),
+    DialUp(LinkKey, u64),
+    Pump(LinkKey, u64, bool),
+    LinkCheck,
+    DiskDone(usize, u64, u64),
+    Beat(usize),
+    CallArrives(usize, Call),
+    CallBack(Call, u16),
+    CallLate(u64),
+    Depart(usize),
+    Ask,
+    Arrive(Hit),
+    Finish(usize, Hit),
+    Ended(Hit, whinstall::Ending, bool),
+    Operate,
+    Fault(Fault),
+    Mend(Fault),
+    Boot(Who),
+}
+
+/// A call to a core machine under way.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: u64,
+    pub core: usize,
+    pub by: Caller,
+}
+
+#[derive(Clone, Debug)]
+pub enum Caller {
+    Beat(usize),
+    Depart(usize),
+    Amend(Vec<Item>),
+    Read,
+}
+
+/// One attempt of a request at a worker.
+#[derive(Clone, Debug)]
+pub struct Hit {
+    pub edge: usize,
+    pub life: u64,
+    pub id: whinstall::RequestId,
+    pub attempt: u32,
+    pub worker: usize,
+    pub host: whinstall::HostId,
+    pub request: u64,
+}
+
+/// A trouble.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// Killed; back after so many seconds. `power`: unsynced writes go; `wipe`: the disk, too.
+    KillCore { core: usize, down: f64, power: bool, wipe: bool },
+    KillEdge { edge: usize, down: f64 },
+    /// Cut off from the other core machines.
+    CutCore { core: usize, secs: f64, one_way: bool },
+    /// Cut off from the core.
+    CutEdge { edge: usize, secs: f64 },
+    StallDisk { core: usize, secs: f64 },
+    /// A process does not run for a while.
+    Freeze { who: Who, secs: f64 },
+    /// All core processes are killed at the same moment.
+    KillAllCore { down: f64 },
+    /// Every machine loses power; the disks of some are lost.
+    PowerOffAll { down: f64, wipe: Vec<usize> },
+    CrashWorker { worker: usize, dark: bool },
+    /// Says that it leaves, and leaves.
+    DrainWorker { worker: usize },
+    /// One tenant sends this many times its usual.
+    Hot { times: f64, secs: f64 },
+}
+
+pub struct Disk {
+    pub synced: Vec<Item>,
+    pub members: Vec<Member>,
+    pub begun: bool,
+    pub writing: Vec<(u64, Vec<Item>, Vec<Member>)>,
+    pub free_at: f64,
+    pub stalled_until: f64,
+}
+
+pub struct CoreNode {
+    pub core: Option<Core>,
+    pub life: u64,
+    pub disk: Disk,
+    pub boot: f64,
+    pub drift: f64,
+    pub frozen: bool,
+    pub cold: bool,
+}
+
+pub struct EdgeNode {
+    pub edge: Option<Edge>,
+    pub life: u64,
+    pub boot: f64,
+    pub drift: f64,
+    pub frozen: bool,
+    /// In trouble until then, for the rules that hold in touch.
+    pub trouble: f64,
+}
+
+/// What a deployment is like.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub cores: usize,
+    pub losses: usize,
+    pub edges: usize,
+    pub workers: usize,
+    pub rate: f64,
+    pub delay: f64,
+    pub jitter: f64,
+    pub length: f64,
+    pub quota: f64,
+    pub lost_answers: f64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            cores: 3,
+            losses: 1,
+            edges: 6,
+            workers: 4,
+            rate: 60.0,
+            delay: 0.0005,
+            jitter: 0.0005,
+            length: 24.0,
+            quota: 20.0,
+            lost_answers: 0.01,
+        }
+    }
+}
+
+pub struct World {
+    pub plan: Plan,
+    pub now: f64,
+    pub rng: fastrand::Rng,
+    queue: BTreeMap<(u64, u64), Ev>,
+    next: u64,
+    pub cores: Vec<CoreNode>,
+    pub edges: Vec<EdgeNode>,
+    pub workers: Vec<Wk>,
+    pub links: Links,
+    pub calls: HashMap<u64, Call>,
+    pub pending: HashMap<(usize, u64), u64>,
+    pub open: HashSet<(usize, u64, whinstall::RequestId, u32)>,
+    pub asked: HashMap<(usize, u64, whinstall::RequestId), u64>,
+    pub operator: Operator,
+    pub audit: Audit,
+    pub unsettled: f64,
+    pub hot: (f64, f64),
+}
+
+pub fn core_ip(n: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 1, n as u8 + 1))
+}
+
+fn zone(n: usize) -> String {
+    ["a", "b", "c"][n % 3].into()
+}
+
+impl World {
+    pub fn new(seed: u64, plan: Plan) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let disk = || Disk {
+            synced: Vec::new(),
+            members: Vec::new(),
+            begun: false,
+            writing: Vec::new(),
+            free_at: 0.0,
+            stalled_until: 0.0,
+        };
+        let mut drift = || 1.0 + 2e-4 * (rng.f64() - 0.5);
+        let cores = (0..plan.cores).map(|_| CoreNode {
+            core: None,
+            life: 0,
+            disk: disk(),
+            boot: 0.0,
+            drift: drift(),
+            frozen: false,
+            cold: true,
+        });
+        let cores = cores.collect();
+        let edges = (0..plan.edges).map(|_| EdgeNode {
+            edge: None,
+            life: 0,
+            boot: 0.0,
+            drift: drift(),
+            frozen: false,
+            trouble: 0.0,
+        });
+        let edges = edges.collect();
+        let workers = (0..3 * plan.workers).map(|n| Wk::new(n, n % 3, &zone(n / 3))).collect();
+        let audit = Audit::new(&plan);
+        let mut world = World {
+            now: 0.0,
+            queue: BTreeMap::new(),
+            next: 0,
+            cores,
+            edges,
+            workers,
+            links: Links::default(),
+            calls: HashMap::new(),
+            pending: HashMap::new(),
+            open: HashSet::new(),
+            asked: HashMap::new(),
+            operator: Operator::default(),
+            audit,
+            unsettled: 0.0,
+            hot: (0.0, 1.0),
+            plan,
+            rng,
+        };
+        for n in 0..world.cores.len() {
+            world.at(0.01, Ev::Boot(Who::Core(n)));
+        }
+        for n in 0..world.edges.len() {
+            world.at(0.02, Ev::Boot(Who::Edge(n)));
+        }
+        for n in 0..world.workers.len() {
+            let after = 0.3 + world.rng.f64();
+            world.at(after, Ev::Beat(n));
+        }
+        world.at(0.2, Ev::LinkCheck);
+        world.at(1.0, Ev::Operate);
+        world.at(4.0, Ev::Ask);
+        world
+    }
+
+    pub fn at(&mut self, at: f64, ev: Ev) {
+        self.next += 1;
+        let at = at.max(self.now);
+        self.queue.insert(((at * 1e6) as u64, self.next), ev);
+    }
+
+    pub fn after(&mut self, secs: f64, ev: Ev) {
+        self.at(self.now + secs, ev);
+    }
+
+    /// One way over the network.
+    pub fn delay(&mut self) -> f64 {
+        self.plan.delay + self.plan.jitter * self.rng.f64()
+    }
+
+    pub fn settings(&self, who: Who) -> Settings {
+        let (n, core) = match who {
+            Who::Core(n) => (n, true),
+            Who::Edge(n) => (n, false),
+        };
+        let text = include_str!("settings.toml");
+        let mut settings = Settings::read(text).expect("settings");
+        settings.node = format!("{}-{n}", if core { "core" } else { "edge" });
+        settings.ip = if core { core_ip(n) } else { IpAddr::V4(Ipv4Addr::new(10, 0, 2, n as u8 + 1)) };
+        settings.zone = zone(n);
+        settings.cold_start = core && self.cores[n].cold;
+        settings.seeds = (0..self.cores.len().min(3)).map(|n| (core_ip(n), 80).into()).collect();
+        settings.tolerance = Tolerance { machines: self.plan.losses, zones: 0, regions: 0 };
+        settings
+    }
+
+    fn boot(&mut self, who: Who) {
+        let settings = self.settings(who);
+        match who {
+            Who::Core(n) => {
+                let node = &mut self.cores[n];
+                node.life += 1;
+                node.boot = self.now;
+                node.frozen = false;
+                let wiped = !node.disk.begun && !node.cold;
+                node.cold = false;
+                let (items, members) = (node.disk.synced.clone(), node.disk.members.clone());
+                let mut core = Core::new(1000.0, settings, items, members, wiped);
+                let mut out = Vec::new();
+                core.start(&mut out);
+                let life = node.life;
+                node.core = Some(core);
+                self.core_effects(n, out);
+                self.after(core::TICK, Ev::CoreTick(n, life));
+            }
+            Who::Edge(n) => {
+                let node = &mut self.edges[n];
+                node.life += 1;
+                node.boot = self.now;
+                node.frozen = false;
+                let life = node.life;
+                let mut edge = Edge::new(settings, life);
+                let mut out = Vec::new();
+                edge.start(&mut out);
+                node.edge = Some(edge);
+                self.edge_effects(n, out);
+                self.after(edge::TICK, Ev::EdgeTick(n, life));
+            }
+        }
+    }
+
+    /// Kills a process: those at the other ends hear of it at once, or (`dark`) not.
+    fn kill(&mut self, who: Who, dark: bool) {
+        match who {
+            Who::Core(n) => {
+                self.cores[n].core = None;
+                self.pending.retain(|(core, _), _| *core != n);
+            }
+            Who::Edge(n) => {
+                self.edges[n].edge = None;
+                self.audit.edge_died(n, self.edges[n].life);
+            }
+        }
+        if !dark {
+            self.reset_links(who);
+        } else {
+            self.links.forget_own(who);
+        }
+    }
+
+    pub fn core_event(&mut self, n: usize, event: core::Event) {
+        let node = &mut self.cores[n];
+        let now = 1000.0 + (self.now - node.boot) * node.drift;
+        let Some(core) = node.core.as_mut().filter(|_| !node.frozen) else { return };
+        let mut out = Vec::new();
+        core.handle(now, event, &mut out);
+        self.core_effects(n, out);
+    }
+
+    fn core_effects(&mut self, n: usize, effects: Vec<core::Effect>) {
+        for effect in effects {
+            match effect {
+                core::Effect::Connect(ip) => self.connect(Who::Core(n), ip),
+                core::Effect::Send(ip, msg) => self.say(Who::Core(n), ip, msg),
+                core::Effect::Return(conn, msg) => self.say_back(conn, msg),
+                core::Effect::Reply(call, status, body) => self.replied(n, call, status, &body),
+                core::Effect::Persist(put, items, members) => {
+                    let life = self.cores[n].life;
+                    let disk = &mut self.cores[n].disk;
+                    disk.writing.push((put, items, members));
+                    disk.free_at = disk.free_at.max(self.now).max(disk.stalled_until) + 0.004;
+                    let at = disk.free_at;
+                    self.at(at, Ev::DiskDone(n, life, put));
+                }
+            }
+        }
+    }
+
+    fn disk_done(&mut self, n: usize, life: u64, put: u64) {
+        let (now, node) = (self.now, &mut self.cores[n]);
+        if node.life != life || node.core.is_none() {
+            return;
+        }
+        if node.disk.stalled_until > now {
+            let at = node.disk.stalled_until + 0.004;
+            return self.at(at, Ev::DiskDone(n, life, put));
+        }
+        node.disk.land(put);
+        self.core_event(n, core::Event::Disk(put));
+    }
+
+    pub fn edge_call(&mut self, n: usize, f: impl FnOnce(&mut Edge, f64, &mut Vec<edge::Effect>)) {
+        let node = &mut self.edges[n];
+        let now = 1000.0 + (self.now - node.boot) * node.drift;
+        let Some(edge) = node.edge.as_mut().filter(|_| !node.frozen) else { return };
+        let mut out = Vec::new();
+        f(edge, now, &mut out);
+        self.edge_effects(n, out);
+    }
+
+    fn edge_effects(&mut self, n: usize, effects: Vec<edge::Effect>) {
+        let life = self.edges[n].life;
+        for effect in effects {
+            match effect {
+                edge::Effect::Connect(ip) => self.connect(Who::Edge(n), ip),
+                edge::Effect::Send(ip, msg) => self.say(Who::Edge(n), ip, msg),
+                edge::Effect::Dispatch { id, attempt, worker, within, .. } => {
+                    self.dispatched(n, life, id, attempt, worker, within);
+                }
+                edge::Effect::CallOff(id, attempt) => self.called_off(n, life, id, attempt),
+                edge::Effect::Answer(id, answer) => self.answered(n, life, id, answer),
+                edge::Effect::CloseIdle(_) => {}
+            }
+        }
+    }
+
+    fn tick_edge(&mut self, n: usize, life: u64) {
+        if self.edges[n].life != life || self.edges[n].edge.is_none() {
+            return;
+        }
+        self.edge_call(n, |edge, now, out| edge.handle(now, edge::Event::Tick, out));
+        let node = &self.edges[n];
+        let now = 1000.0 + (self.now - node.boot) * node.drift;
+        let next = node.edge.as_ref().map_or(edge::TICK, |e| (e.next(now) - now).clamp(0.002, edge::TICK));
+        self.after(next, Ev::EdgeTick(n, life));
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        let contact = 3.0;
+        match &fault {
+            Fault::KillCore { core, down, power, wipe } => {
+                self.kill(Who::Core(*core), *power);
+                self.cores[*core].disk.crash(*power, *wipe, &mut self.rng);
+                self.unsettled = self.unsettled.max(self.now + down + contact);
+                self.after(*down, Ev::Boot(Who::Core(*core)));
+            }
+            Fault::KillEdge { edge, down } => {
+                self.kill(Who::Edge(*edge), false);
+                self.edges[*edge].trouble = self.now + down + contact;
+                self.after(*down, Ev::Boot(Who::Edge(*edge)));
+            }
+            Fault::CutCore { core, secs, one_way } => {
+                self.links.cut_core(*core, *one_way, true);
+                self.unsettled = self.unsettled.max(self.now + secs + contact);
+                self.after(*secs, Ev::Mend(fault.clone()));
+            }
+            Fault::CutEdge { edge, secs } => {
+                self.links.cut_edge(*edge, true);
+                self.edges[*edge].trouble = self.now + secs + contact;
+                self.after(*secs, Ev::Mend(fault.clone()));
+            }
+            Fault::StallDisk { core, secs } => {
+                self.cores[*core].disk.stalled_until = self.now + secs;
+                self.unsettled = self.unsettled.max(self.now + secs + contact);
+            }
+            Fault::Freeze { who, secs } => {
+                self.freeze(*who, true);
+                match who {
+                    Who::Core(_) => self.unsettled = self.unsettled.max(self.now + secs + contact),
+                    Who::Edge(n) => self.edges[*n].trouble = self.now + secs + contact,
+                }
+                self.after(*secs, Ev::Mend(fault.clone()));
+            }
+            Fault::KillAllCore { down } => {
+                for n in 0..self.cores.len() {
+                    self.kill(Who::Core(n), false);
+                    self.cores[n].disk.crash(false, false, &mut self.rng);
+                    self.after(*down, Ev::Boot(Who::Core(n)));
+                }
+                self.unsettled = self.unsettled.max(self.now + down + contact);
+            }
+            Fault::PowerOffAll { down, wipe } => {
+                for n in 0..self.cores.len() {
+                    self.kill(Who::Core(n), true);
+                    self.cores[n].disk.crash(true, wipe.contains(&n), &mut self.rng);
+                    let late = self.rng.f64() * 0.2;
+                    self.after(*down + late, Ev::Boot(Who::Core(n)));
+                }
+                for n in 0..self.edges.len() {
+                    self.kill(Who::Edge(n), true);
+                    self.edges[n].trouble = self.now + down + contact;
+                    self.after(*down, Ev::Boot(Who::Edge(n)));
+                }
+                self.unsettled = self.unsettled.max(self.now + down + contact);
+            }
+            Fault::CrashWorker { worker, dark } => {
+                self.workers[*worker].alive = false;
+                self.workers[*worker].dark = *dark;
+            }
+            Fault::DrainWorker { worker } => self.workers[*worker].leaves(),
+            Fault::Hot { times, secs } => self.hot = (self.now + secs, *times),
+        }
+    }
+
+    fn freeze(&mut self, who: Who, frozen: bool) {
+        match who {
+            Who::Core(n) => self.cores[n].frozen = frozen,
+            Who::Edge(n) => self.edges[n].frozen = frozen,
+        }
+    }
+
+    fn mend(&mut self, fault: Fault) {
+        match fault {
+            Fault::CutCore { core, one_way, .. } => self.links.cut_core(core, one_way, false),
+            Fault::CutEdge { edge, .. } => self.links.cut_edge(edge, false),
+            Fault::Freeze { who, .. } => self.freeze(who, false),
+            _ => {}
+        }
+    }
+
+    /// Plays until then.
+    pub fn play(&mut self, until: f64) {
+        while let Some(first) = self.queue.first_entry() {
+            if first.key().0 as f64 / 1e6 > until {
+                break;
+            }
+            self.now = self.now.max(first.key().0 as f64 / 1e6);
+            match first.remove() {
+                Ev::CoreTick(n, life) => {
+                    if self.cores[n].life == life && self.cores[n].core.is_some() {
+                        self.core_event(n, core::Event::Tick);
+                        self.after(core::TICK, Ev::CoreTick(n, life));
+                    }
+                }
+                Ev::EdgeTick(n, life) => self.tick_edge(n, life),
+                Ev::Dial(key, life) => self.dial(key, life),
+                Ev::DialUp(key, life) => self.dial_up(key, life),
+                Ev::Pump(key, conn, forth) => self.pump(key, conn, forth),
+                Ev::LinkCheck => {
+                    self.check_links();
+                    self.after(0.2, Ev::LinkCheck);
+                }
+                Ev::DiskDone(n, life, put) => self.disk_done(n, life, put),
+                Ev::Beat(n) => self.beat(n),
+                Ev::CallArrives(core, call) => self.call_arrives(core, call),
+                Ev::CallBack(call, status) => self.call_back(call, status),
+                Ev::CallLate(id) => {
+                    if let Some(call) = self.calls.remove(&id) {
+                        self.call_failed(call);
+                    }
+                }
+                Ev::Depart(n) => self.depart(n),
+                Ev::Ask => self.ask(),
+                Ev::Arrive(hit) => self.arrive(hit),
+                Ev::Finish(worker, hit) => self.finish(worker, hit),
+                Ev::Ended(hit, ending, misdirected) => self.ended(hit, ending, misdirected),
+                Ev::Operate => self.operate(),
+                Ev::Fault(fault) => self.fault(fault),
+                Ev::Mend(fault) => self.mend(fault),
+                Ev::Boot(who) => self.boot(who),
+            }
+        }
+        self.now = until;
+    }
+
+    /// A message counts as said to a core machine.
+    pub fn deliver(&mut self, key: LinkKey, conn: u64, forth: bool, msg: Msg) {
+        match (key.from, forth) {
+            (_, true) => self.core_event(key.to, core::Event::Inbound(conn, msg)),
+            (Who::Core(n), false) => self.core_event(n, core::Event::Peer(core_ip(key.to), msg)),
+            (Who::Edge(n), false) => {
+                let ip = core_ip(key.to);
+                self.edge_call(n, |edge, now, out| edge.handle(now, edge::Event::Core(ip, msg), out));
+            }
+        }
+    }
+}
+
+impl Disk {
+    /// All up to this write is synced.
+    fn land(&mut self, put: u64) {
+        let (done, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.writing).into_iter().partition(|w| w.0 <= put);
+        self.writing = rest;
+        for (_, items, members) in done {
+            self.take(items, members);
+        }
+    }
+
+    fn take(&mut self, items: Vec<Item>, members: Vec<Member>) {
+        self.begun |= !items.is_empty() || !members.is_empty();
+        for item in items {
+            let same = |i: &&mut Item| i.kind == item.kind && i.label == item.label;
+            match self.synced.iter_mut().find(same) {
+                Some(held) if held.version < item.version => *held = item,
+                Some(_) => {}
+                None => self.synced.push(item),
+            }
+        }
+        for member in members {
+            self.members.retain(|m| m.ip != member.ip);
+            self.members.push(member);
+        }
+    }
+
+    /// The process is gone: of what was not synced each write is there or not; after a loss of power none may be.
+    fn crash(&mut self, power: bool, wipe: bool, rng: &mut fastrand::Rng) {
+        for (_, items, members) in std::mem::take(&mut self.writing) {
+            if !power || rng.bool() {
+                self.take(items, members);
+            } else {
+                break;
+            }
+        }
+        (self.free_at, self.stalled_until) = (0.0, 0.0);
+        if wipe {
+            (self.synced, self.members, self.begun) = (Vec::new(), Vec::new(), false);
+        }
+    }
+}
--- /dev/null
+++ b/toolroom/src/sim/net.rs
@@ -0,0 +1,224 @@
+//! The simulated network: connections to core machines with delay and order, cuts that hold bytes up, resets.
+
+use super::{core_ip, Ev, World};
+use crate::core;
+use crate::edge;
+use crate::wire::Msg;
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::net::IpAddr;
+
+/// A process of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Who {
+    Core(usize),
+    Edge(usize),
+}
+
+/// A connection: who opened it, to which core machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkKey {
+    pub from: Who,
+    pub to: usize,
+}
+
+struct Link {
+    conn: u64,
+    /// Not there any more at this side (`from`), though the other may not have noticed.
+    gone_here: bool,
+    gone_there: bool,
+    forth: VecDeque<(f64, Msg)>,
+    back: VecDeque<(f64, Msg)>,
+    heard: (f64, f64),
+}
+
+/// All connections, and what is cut.
+#[derive(Default)]
+pub struct Links {
+    up: BTreeMap<LinkKey, Link>,
+    wanted: BTreeSet<LinkKey>,
+    next: u64,
+    cut_cores: Vec<(usize, bool)>,
+    cut_edges: HashSet<usize>,
+}
+
+impl Links {
+    pub fn cut_core(&mut self, core: usize, one_way: bool, cut: bool) {
+        match cut {
+            true => self.cut_cores.push((core, one_way)),
+            false => self.cut_cores.retain(|c| *c != (core, one_way)),
+        }
+    }
+
+    pub fn cut_edge(&mut self, edge: usize, cut: bool) {
+        match cut {
+            true => self.cut_edges.insert(edge),
+            false => self.cut_edges.remove(&edge),
+        };
+    }
+
+    /// Do packets pass from the opener to the core machine (`forth`), or back?
+    fn passes(&self, key: LinkKey, forth: bool) -> bool {
+        match key.from {
+            Who::Edge(n) => !self.cut_edges.contains(&n),
+            Who::Core(n) => {
+                let (from, to) = if forth { (n, key.to) } else { (key.to, n) };
+                // One way: what it says is lost, what others say arrives.
+                !self.cut_cores.iter().any(|(c, one_way)| *c == from || *c == to && !one_way)
+            }
+        }
+    }
+
+    /// The process is gone without a word: nothing of it is left at its own side.
+    pub fn forget_own(&mut self, who: Who) {
+        for (key, link) in &mut self.up {
+            link.gone_here |= key.from == who;
+            link.gone_there |= Who::Core(key.to) == who;
+        }
+        self.wanted.retain(|k| k.from != who);
+    }
+}
+
+impl World {
+    fn alive(&self, who: Who) -> Option<u64> {
+        match who {
+            Who::Core(n) => self.cores[n].core.as_ref().map(|_| self.cores[n].life),
+            Who::Edge(n) => self.edges[n].edge.as_ref().map(|_| self.edges[n].life),
+        }
+    }
+
+    fn life(&self, who: Who) -> u64 {
+        match who {
+            Who::Core(n) => self.cores[n].life,
+            Who::Edge(n) => self.edges[n].life,
+        }
+    }
+
+    pub fn connect(&mut self, from: Who, ip: IpAddr) {
+        let Some(to) = (0..self.cores.len()).find(|n| core_ip(*n) == ip) else { return };
+        let key = LinkKey { from, to };
+        self.links.wanted.insert(key);
+        let life = self.life(from);
+        self.after(0.001, Ev::Dial(key, life));
+    }
+
+    pub fn dial(&mut self, key: LinkKey, life: u64) {
+        if self.alive(key.from) != Some(life) || !self.links.wanted.contains(&key) {
+            return;
+        }
+        let there = self.alive(Who::Core(key.to)).is_some();
+        let passes = self.links.passes(key, true) && self.links.passes(key, false);
+        if there && passes && !self.links.up.contains_key(&key) {
+            let rtt = self.delay() + self.delay();
+            self.after(rtt, Ev::DialUp(key, life));
+        } else {
+            self.after(if passes { 0.25 } else { 0.95 }, Ev::Dial(key, life));
+        }
+    }
+
+    pub fn dial_up(&mut self, key: LinkKey, life: u64) {
+        if self.alive(key.from) != Some(life) || self.alive(Who::Core(key.to)).is_none() {
+            return self.after(0.25, Ev::Dial(key, life));
+        }
+        self.links.next += 1;
+        let conn = self.links.next;
+        let (forth, back) = Default::default();
+        let heard = (self.now, self.now);
+        let link = Link { conn, gone_here: false, gone_there: false, forth, back, heard };
+        self.links.up.insert(key, link);
+        self.tell(key, true);
+    }
+
+    /// Tells the opener that its connection is up or down.
+    fn tell(&mut self, key: LinkKey, up: bool) {
+        let ip = core_ip(key.to);
+        match key.from {
+            Who::Core(n) => {
+                self.core_event(n, if up { core::Event::LinkUp(ip) } else { core::Event::LinkDown(ip) });
+            }
+            Who::Edge(n) => self.edge_call(n, |edge, now, out| {
+                edge.handle(now, if up { edge::Event::LinkUp(ip) } else { edge::Event::LinkDown(ip) }, out);
+            }),
+        }
+    }
+
+    pub fn say(&mut self, from: Who, ip: IpAddr, msg: Msg) {
+        let Some(to) = (0..self.cores.len()).find(|n| core_ip(*n) == ip) else { return };
+        self.push(LinkKey { from, to }, true, msg);
+    }
+
+    pub fn say_back(&mut self, conn: u64, msg: Msg) {
+        let key = self.links.up.iter().find(|(_, l)| l.conn == conn).map(|(k, _)| *k);
+        if let Some(key) = key {
+            self.push(key, false, msg);
+        }
+    }
+
+    fn push(&mut self, key: LinkKey, forth: bool, msg: Msg) {
+        // Through the real encoding, so that what can't be read shows here.
+        let mut bytes = bytes::BytesMut::from(&crate::wire::encode(&msg)[..]);
+        let msg = crate::wire::decode(&mut bytes).expect("readable").expect("whole");
+        let at = self.now + self.delay();
+        let Some(link) = self.links.up.get_mut(&key) else { return };
+        let conn = link.conn;
+        let queue = if forth { &mut link.forth } else { &mut link.back };
+        let at = queue.back().map_or(at, |(last, _)| at.max(*last));
+        queue.push_back((at, msg));
+        self.at(at, Ev::Pump(key, conn, forth));
+    }
+
+    pub fn pump(&mut self, key: LinkKey, conn: u64, forth: bool) {
+        let passes = self.links.passes(key, forth);
+        let frozen = match (key.from, forth) {
+            (_, true) => self.cores[key.to].frozen,
+            (Who::Core(n), false) => self.cores[n].frozen,
+            (Who::Edge(n), false) => self.edges[n].frozen,
+        };
+        let Some(link) = self.links.up.get_mut(&key).filter(|l| l.conn == conn) else { return };
+        if if forth { link.gone_there } else { link.gone_here } {
+            return;
+        }
+        if !passes || frozen {
+            // Held up, in order.
+            return self.after(0.05, Ev::Pump(key, conn, forth));
+        }
+        let queue = if forth { &mut link.forth } else { &mut link.back };
+        let Some((_, msg)) = queue.pop_front() else { return };
+        if forth {
+            link.heard.1 = self.now;
+        } else {
+            link.heard.0 = self.now;
+        }
+        self.deliver(key, conn, forth, msg);
+    }
+
+    fn drop_link(&mut self, key: LinkKey) {
+        let Some(link) = self.links.up.remove(&key) else { return };
+        if !link.gone_there {
+            self.core_event(key.to, core::Event::Closed(link.conn));
+        }
+        if !link.gone_here {
+            self.tell(key, false);
+            let life = self.life(key.from);
+            self.after(0.25, Ev::Dial(key, life));
+        }
+    }
+
+    /// A process died and its machine resets what is open.
+    pub fn reset_links(&mut self, who: Who) {
+        self.links.forget_own(who);
+        let keys: Vec<LinkKey> = self.links.up.keys().copied().collect();
+        for key in keys.into_iter().filter(|k| k.from == who || Who::Core(k.to) == who) {
+            self.drop_link(key);
+        }
+    }
+
+    /// Connections on which nothing was heard for too long are given up.
+    pub fn check_links(&mut self) {
+        let silent = |l: &Link| self.now - l.heard.0 > 1.6 || self.now - l.heard.1 > 1.6;
+        let late: Vec<LinkKey> = self.links.up.iter().filter(|(_, l)| silent(l)).map(|(k, _)| *k).collect();
+        for key in late {
+            self.drop_link(key);
+        }
+        // Those that restarted dark find their old connections in the way until these are noticed.
+    }
+}
--- /dev/null
+++ b/toolroom/src/sim/stories.rs
@@ -0,0 +1,189 @@
+//! What must hold in troubles, each told by seeds.
+
+use super::net::Who;
+use super::{Ev, Fault, Plan, World};
+use googletest::prelude::*;
+
+fn played(seed: u64, plan: Plan, faults: &[(f64, Fault)]) -> World {
+    let mut world = World::new(seed, plan);
+    for (at, fault) in faults {
+        world.at(*at, Ev::Fault(fault.clone()));
+    }
+    let length = world.plan.length;
+    world.play(length - 3.0);
+    world.read_back();
+    world.play(length);
+    world.audit.close();
+    world
+}
+
+/// Plays on some seeds; what is broken names the seed.
+fn all(seeds: std::ops::Range<u64>, plan: &Plan, faults: &[(f64, Fault)]) -> Vec<World> {
+    let mut worlds = Vec::new();
+    for seed in seeds {
+        let world = played(seed, plan.clone(), faults);
+        assert!(world.audit.broken.is_empty(), "seed {seed}: {:#?}", world.audit.broken);
+        worlds.push(world);
+    }
+    worlds
+}
+
+#[gtest]
+fn a_calm_day_is_served_and_nothing_is_refused() {
+    for world in all(0..6, &Plan { lost_answers: 0.0, ..Plan::default() }, &[]) {
+        for key in ["key-big", "key-free", "key-small"] {
+            expect_that!(world.audit.served(5.0, 20.0, key), ge(0.97), "{key}");
+        }
+    }
+}
+
+#[gtest]
+fn quotas_bind_over_all_gatekeepers_while_one_tenant_sends_tenfold() {
+    for world in all(10..20, &Plan::default(), &[(8.0, Fault::Hot { times: 10.0, secs: 8.0 })]) {
+        expect_that!(world.audit.served(8.0, 16.0, "key-free"), ge(0.9));
+    }
+}
+
+#[gtest]
+fn quotas_bind_with_gatekeepers_cut_off_and_the_counter_lost() {
+    let faults = [
+        (7.0, Fault::Hot { times: 10.0, secs: 12.0 }),
+        (9.0, Fault::CutEdge { edge: 0, secs: 6.0 }),
+        (9.0, Fault::CutEdge { edge: 1, secs: 4.0 }),
+        (10.0, Fault::KillCore { core: 0, down: 2.5, power: true, wipe: false }),
+        (15.0, Fault::KillCore { core: 1, down: 1.0, power: false, wipe: false }),
+    ];
+    all(30..42, &Plan::default(), &faults);
+}
+
+#[gtest]
+fn quotas_bind_when_every_counter_forgets() {
+    let faults = [
+        (7.0, Fault::Hot { times: 10.0, secs: 12.0 }),
+        (9.0, Fault::KillAllCore { down: 0.8 }),
+        (9.5, Fault::CutEdge { edge: 2, secs: 5.0 }),
+        (14.0, Fault::KillAllCore { down: 0.4 }),
+    ];
+    for world in all(50..60, &Plan::default(), &faults) {
+        // Gatekeepers serve on with what they know, within their shares.
+        expect_that!(world.audit.served(9.0, 11.0, "key-free"), ge(0.9));
+    }
+}
+
+#[gtest]
+fn a_gatekeeper_cut_off_serves_a_tenant_within_its_quota_on() {
+    let faults = [(8.0, Fault::CutEdge { edge: 0, secs: 10.0 })];
+    for world in all(70..74, &Plan { quota: 60.0, ..Plan::default() }, &faults) {
+        expect_that!(world.audit.served(8.0, 18.0, "key-big"), ge(0.93));
+    }
+}
+
+#[gtest]
+fn acknowledged_items_outlive_the_disk_of_one_and_the_power_of_all() {
+    for (seeds, lost) in [(80..86, 0), (90..96, 1), (100..106, 2)] {
+        let fault = Fault::PowerOffAll { down: 1.0, wipe: vec![lost] };
+        for world in all(seeds, &Plan::default(), &[(12.0, fault)]) {
+            expect_that!(world.audit.served(16.0, 20.0, "key-free"), ge(0.8));
+        }
+    }
+}
+
+#[gtest]
+fn two_of_five_disks_may_go() {
+    let plan = Plan { cores: 5, losses: 2, ..Plan::default() };
+    let faults = [
+        (7.0, Fault::KillCore { core: 4, down: 2.0, power: true, wipe: true }),
+        (14.0, Fault::PowerOffAll { down: 1.0, wipe: vec![1, 3] }),
+    ];
+    all(110..118, &plan, &faults);
+}
+
+#[gtest]
+fn a_core_machine_cut_off_hung_or_wiped_neither_acknowledges_alone_nor_loses_workers() {
+    let faults = [
+        (6.0, Fault::CutCore { core: 0, secs: 5.0, one_way: false }),
+        (12.0, Fault::StallDisk { core: 1, secs: 3.0 }),
+        (15.5, Fault::KillCore { core: 2, down: 1.5, power: true, wipe: true }),
+    ];
+    for world in all(120..130, &Plan::default(), &faults) {
+        expect_that!(world.audit.served(6.0, 20.0, "key-free"), ge(0.93));
+    }
+}
+
+#[gtest]
+fn one_way_cuts_and_pauses_break_nothing() {
+    let faults = [
+        (6.0, Fault::CutCore { core: 1, secs: 4.0, one_way: true }),
+        (11.0, Fault::Freeze { who: Who::Core(0), secs: 3.0 }),
+        (15.0, Fault::Freeze { who: Who::Edge(1), secs: 2.0 }),
+        (9.0, Fault::Hot { times: 8.0, secs: 9.0 }),
+    ];
+    all(140..152, &Plan::default(), &faults);
+}
+
+#[gtest]
+fn leaving_workers_get_nothing_late_and_their_addresses_go_to_others() {
+    let faults = [
+        (6.0, Fault::DrainWorker { worker: 0 }),
+        (7.0, Fault::DrainWorker { worker: 4 }),
+        (8.2, Fault::KillCore { core: 1, down: 1.0, power: true, wipe: false }),
+        (9.0, Fault::DrainWorker { worker: 8 }),
+        (10.0, Fault::CrashWorker { worker: 3, dark: true }),
+        (11.0, Fault::CrashWorker { worker: 5, dark: false }),
+    ];
+    for world in all(160..172, &Plan::default(), &faults) {
+        expect_that!(world.audit.served(12.0, 20.0, "key-free"), ge(0.85));
+    }
+}
+
+/// Draws troubles within what may be lost at once.
+fn drawn(rng: &mut fastrand::Rng, plan: &Plan) -> Vec<(f64, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = 5.0 + rng.f64();
+    while at < plan.length - 9.0 {
+        let secs = 0.5 + 4.0 * rng.f64();
+        let core = rng.usize(0..plan.cores);
+        let edge = rng.usize(0..plan.edges);
+        let power = rng.bool();
+        faults.push((at, match rng.usize(0..11) {
+            0 => Fault::KillCore { core, down: secs, power, wipe: rng.bool() },
+            1 => Fault::CutCore { core, secs, one_way: rng.bool() },
+            2 => Fault::StallDisk { core, secs },
+            3 => Fault::Freeze { who: Who::Core(core), secs },
+            4 => Fault::KillAllCore { down: 0.3 + 0.6 * rng.f64() },
+            5 => Fault::PowerOffAll { down: 1.0, wipe: vec![core] },
+            6 => Fault::KillEdge { edge, down: secs },
+            7 => Fault::CutEdge { edge, secs },
+            8 => Fault::Hot { times: 3.0 + 8.0 * rng.f64(), secs },
+            9 => Fault::DrainWorker { worker: rng.usize(0..6) },
+            _ => Fault::Freeze { who: Who::Edge(edge), secs },
+        }));
+        // Core machines count as lost for a while after their return: the next comes after that.
+        at += secs + if rng.bool() { 4.0 } else { 4.5 + 2.0 * rng.f64() };
+        faults.push((at - 2.0, Fault::CutEdge { edge: (edge + 1) % plan.edges, secs: 1.0 + rng.f64() }));
+    }
+    faults
+}
+
+fn hunt(seeds: std::ops::Range<u64>, plan: &Plan) {
+    for seed in seeds {
+        let faults = drawn(&mut fastrand::Rng::with_seed(seed), plan);
+        let world = played(seed, plan.clone(), &faults);
+        assert!(world.audit.broken.is_empty(), "seed {seed}: {:#?}\n{faults:#?}", world.audit.broken);
+    }
+}
+
+#[gtest]
+fn drawn_troubles_on_three_core_machines() {
+    hunt(1000..1050, &Plan { length: 30.0, ..Plan::default() });
+}
+
+#[gtest]
+fn drawn_troubles_on_four_core_machines_far_apart() {
+    hunt(2000..2040, &Plan { cores: 4, delay: 0.008, jitter: 0.004, length: 30.0, ..Plan::default() });
+}
+
+#[gtest]
+fn drawn_troubles_on_five_core_machines_with_two_losses() {
+    hunt(3000..3040, &Plan { cores: 5, losses: 2, edges: 9, length: 30.0, ..Plan::default() });
+}
