--- a/src/gateway/retune.rs
+++ b/src/gateway/retune.rs
@@ -2,8 +2,8 @@
 //! the class and the number of attempts that they came under. It owns which records of the old settings live on. It
 //! must never decide on a request.
 
+use crate::gateway::attempts::SEEN_PRIOR;
 use crate::gateway::interface::Settings;
-use crate::gateway::rules::SEEN_PRIOR;
 use crate::gateway::state::{sane_settings, Gateway};
 
 impl Gateway {
--- a/toolroom/src/anvil.rs
+++ b/toolroom/src/anvil.rs
@@ -73,9 +73,9 @@
                         let _ = reply.send((status, body));
                     }
                 }
-                Effect::Persist(number, items, members) => {
+                Effect::Persist(number, records) => {
                     if let Some(disk) = &*self.disk.borrow() {
-                        let _ = disk.send(Put { number, items, members });
+                        let _ = disk.send(Put { number, records });
                     }
                 }
             }
@@ -196,14 +196,15 @@
     let wiped = !held.begun && !settings.cold_start;
     tracing::info!(
         node = settings.node,
-        items = held.items.len(),
-        members = held.members.len(),
+        items = held.records.items.len(),
+        members = held.records.members.len(),
+        workers = held.records.workers.len(),
         wiped,
         cold_start = settings.cold_start,
         "core role starts"
     );
     let (port, ip) = (settings.inner_port, settings.ip);
-    let core = Core::new(clock.now(), settings, held.items, held.members, wiped);
+    let core = Core::new(clock.now(), settings, held.records, wiped);
     let anvil = Rc::new(Anvil {
         core: RefCell::new(core),
         clock,
--- a/toolroom/src/core/keeper.rs
+++ b/toolroom/src/core/keeper.rs
@@ -6,6 +6,7 @@
 use super::{fault, CallId, Conn, Effect, Shared};
 use crate::config::call::judge;
 use crate::config::{Item, Items};
+use crate::store::Records;
 use crate::wire::Msg;
 use serde_json::json;
 use std::collections::{BTreeSet, HashMap};
@@ -71,7 +72,7 @@
     fn write(&mut self, items: Vec<Item>, waiter: Waiter, shared: &mut Shared, out: &mut Vec<Effect>) {
         let put = shared.number();
         self.writing.push((put, items.clone(), waiter));
-        out.push(Effect::Persist(put, items, Vec::new()));
+        out.push(Effect::Persist(put, Records { items, ..Records::default() }));
     }
 
     /// Writes items that nobody here waits for.
--- a/toolroom/src/core/mod.rs
+++ b/toolroom/src/core/mod.rs
@@ -11,6 +11,7 @@
 use crate::counter::Limit;
 use crate::registry::Worker;
 use crate::settings::Settings;
+use crate::store::Records;
 use crate::wire::{Member, Msg};
 use keeper::Keeper;
 use roster::Roster;
@@ -72,7 +73,7 @@
     /// Answer a call.
     Reply(CallId, u16, Value),
     /// Write and sync, in this order.
-    Persist(u64, Vec<Item>, Vec<Member>),
+    Persist(u64, Records),
 }
 
 /// Seconds between two ticks.
@@ -97,6 +98,8 @@
     /// Pings in a row whose digests differed.
     differs: u32,
     whole_at: f64,
+    /// Was it told the workers?
+    told: bool,
 }
 
 /// Answer of a call that was not taken.
@@ -180,16 +183,16 @@
 
 impl Core {
     /// Starts with what its disk holds.
-    pub fn new(now: f64, settings: Settings, items: Vec<Item>, members: Vec<Member>, wiped: bool) -> Self {
+    pub fn new(now: f64, settings: Settings, held: Records, wiped: bool) -> Self {
         let me = Member { ip: settings.ip, zone: settings.zone.clone(), region: settings.region.clone() };
         let blank = |ip| Member { ip, zone: String::new(), region: String::new() };
         let mut all: BTreeMap<IpAddr, Member> =
             settings.seeds.iter().map(|s| (s.ip(), blank(s.ip()))).collect();
-        all.extend(members.into_iter().map(|m| (m.ip, m)));
+        all.extend(held.members.into_iter().map(|m| (m.ip, m)));
         all.insert(me.ip, me.clone());
         Core {
-            keeper: Keeper::new(items, wiped),
-            roster: Roster::new(&settings),
+            keeper: Keeper::new(held.items, wiped),
+            roster: Roster::new(&settings, now, held.workers),
             seat: Seat::new(&settings),
             shared: Shared { settings, me, members: all, heard: HashMap::new(), started: now, next: 0 },
             callers: BTreeMap::new(),
@@ -207,7 +210,8 @@
 
     fn persist_members(&mut self, out: &mut Vec<Effect>) {
         let put = self.shared.number();
-        out.push(Effect::Persist(put, Vec::new(), self.shared.members.values().cloned().collect()));
+        let members = self.shared.members.values().cloned().collect();
+        out.push(Effect::Persist(put, Records { members, ..Records::default() }));
     }
 
     /// Takes an event at `now`, in seconds of a steady clock.
@@ -244,6 +248,10 @@
         out.push(Effect::Send(ip, hello));
         out.push(Effect::Send(ip, Msg::Members(self.shared.members.values().cloned().collect())));
         out.push(Effect::Send(ip, Msg::Query { ask: 0, digest: self.keeper.items.digest() }));
+        let workers: Vec<Worker> = self.roster.registry.all().cloned().collect();
+        if !workers.is_empty() {
+            out.push(Effect::Send(ip, Msg::AllWorkers { workers, settled: false }));
+        }
     }
 
     fn meet(&mut self, members: Vec<Member>, out: &mut Vec<Effect>) {
@@ -322,7 +330,8 @@
                 Some(member) => self.meet(vec![member], out),
                 None => self.gates.extend([(node.clone(), now)]),
             }
-            self.callers.insert(conn, Caller { node, life, member: ip, differs: 0, whole_at: now });
+            self.callers
+                .insert(conn, Caller { node, life, member: ip, differs: 0, whole_at: now, told: false });
             if ip.is_none() {
                 self.whole(now, conn, out);
             }
@@ -403,6 +412,9 @@
             out.push(Effect::Return(conn, Msg::Items(items)));
         }
         if self.shared.majority(now) {
+            if let Some(caller) = self.callers.get_mut(&conn) {
+                caller.told = true;
+            }
             let settled = self.roster.settled(now);
             let workers = self.roster.registry.all().cloned().collect();
             out.push(Effect::Return(conn, Msg::AllWorkers { workers, settled }));
@@ -421,6 +433,7 @@
     /// Workers' news: what is new here goes to the gatekeepers, and to the core if it was told here first.
     fn news(&mut self, now: f64, workers: Vec<Worker>, first: Option<()>, out: &mut Vec<Effect>) {
         let (changed, contested) = self.roster.merge(now, workers);
+        self.persist_workers(&changed, out);
         if !changed.is_empty() && self.shared.majority(now) {
             for (conn, _) in self.callers.iter().filter(|(_, c)| c.member.is_none()) {
                 out.push(Effect::Return(*conn, Msg::Workers(changed.clone())));
@@ -434,6 +447,14 @@
         }
     }
 
+    /// Nobody waits for it: after a loss of power all are known at once again, as far as it got.
+    fn persist_workers(&mut self, workers: &[Worker], out: &mut Vec<Effect>) {
+        if !workers.is_empty() {
+            let put = self.shared.number();
+            out.push(Effect::Persist(put, Records { workers: workers.to_vec(), ..Records::default() }));
+        }
+    }
+
     fn call(&mut self, now: f64, call: CallId, command: Command, out: &mut Vec<Effect>) {
         match command {
             Command::Amend(items) => self.keeper.amend(now, call, items, &mut self.shared, out),
@@ -475,10 +496,18 @@
                 out.push(Effect::Send(ip, Msg::Ping { config, workers }));
             }
         }
+        if self.shared.majority(now) {
+            // Those that came while this machine could not speak for workers.
+            let untold = self.callers.iter().filter(|(_, c)| c.member.is_none() && !c.told);
+            for conn in untold.map(|(conn, _)| *conn).collect::<Vec<_>>() {
+                self.whole(now, conn, out);
+            }
+        }
         self.gates.retain(|_, at| now - *at < GATE_KEPT);
         self.keeper.tick(now, &mut self.shared, out);
         let silent = self.roster.tick(now, &self.shared, out);
         if !silent.is_empty() {
+            self.persist_workers(&silent, out);
             for (conn, _) in self.callers.iter().filter(|(_, c)| c.member.is_none()) {
                 out.push(Effect::Return(*conn, Msg::Workers(silent.clone())));
             }
--- a/toolroom/src/core/roster.rs
+++ b/toolroom/src/core/roster.rs
@@ -42,10 +42,14 @@
 }
 
 impl Roster {
-    /// An empty one.
-    pub fn new(settings: &Settings) -> Self {
+    /// With the workers that were known before: all as if they had just been heard of.
+    pub fn new(settings: &Settings, now: f64, workers: Vec<Worker>) -> Self {
+        let mut registry = Registry::default();
+        for worker in workers {
+            registry.merge(now, Worker { warmup_ms: 0, ..worker }, KEEP);
+        }
         Roster {
-            registry: Registry::default(),
+            registry,
             beat: settings.heartbeat.as_secs_f64(),
             holdings: HashMap::new(),
             known: HashMap::new(),
--- a/toolroom/src/edge/mod.rs
+++ b/toolroom/src/edge/mod.rs
@@ -170,6 +170,11 @@
         !self.items.is_empty() && (self.workers_known || routed.all(has)) && (self.synced || !limited)
     }
 
+    /// Is any configuration known?
+    pub fn is_configured(&self) -> bool {
+        !self.items.is_empty()
+    }
+
     /// This process is asked to end: it is not ready any more.
     pub fn end(&mut self) {
         self.ending = true;
@@ -350,7 +355,9 @@
     }
 
     fn tick(&mut self, now: f64, out: &mut Vec<Effect>) {
-        if now - self.pinged >= PING {
+        // Who holds the counter is asked for more often until it is known.
+        let every = if self.holder(now).is_some() { PING } else { PING / 5.0 };
+        if now - self.pinged >= every {
             self.pinged = now;
             let ping = self.ping();
             let up = self.links.iter().filter(|(_, l)| l.up).map(|(ip, _)| *ip);
--- a/toolroom/src/jig.rs
+++ b/toolroom/src/jig.rs
@@ -24,6 +24,8 @@
 
 /// A body comes within this.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
+/// A gatekeeper that does not know its configuration yet may know it after this: seconds.
+const NOT_YET: f64 = 0.25;
 /// Where a request does not say how long its client waits.
 const LEFT_MOST: Duration = Duration::from_secs(30);
 /// The platform needs so long to notice that this gatekeeper is not ready any more: two of its questions, and some.
@@ -266,6 +268,9 @@
         let Whole { head, body } = whole;
         let view = Arc::clone(&self.edge.borrow().view);
         let host = head.headers().get("host").and_then(|h| h.to_str().ok()).unwrap_or_default();
+        if !self.edge.borrow().is_configured() {
+            return Some(plain(Answer::Refused(NOT_YET)));
+        }
         let Some(route) = view.route(host, head.path()).cloned() else {
             return Some(http::plain(StatusCode::NOT_FOUND, "no route"));
         };
--- a/toolroom/src/link.rs
+++ b/toolroom/src/link.rs
@@ -14,7 +14,7 @@
 /// A connection comes up within this.
 const DIAL: Duration = Duration::from_millis(700);
 /// The next try, after one that failed.
-const AGAIN: Duration = Duration::from_millis(250);
+const AGAIN: Duration = Duration::from_millis(100);
 /// The other side says something this often, or the connection is given up.
 const SILENCE: Duration = Duration::from_millis(1600);
 
--- a/toolroom/src/quota.rs
+++ b/toolroom/src/quota.rs
@@ -135,7 +135,7 @@
     /// Out of touch: by the standing share, which the counter sets aside.
     fn by_share(now: f64, t: &mut Tenant, limit: &Limit, terms: Terms, synced_at: f64) -> Verdict {
         if now - synced_at > terms.lapse {
-            return Verdict::Refuse(1.0);
+            return Verdict::Refuse(terms.every);
         }
         let part = t.share / limit.rate;
         let slack = terms.overshoot * (limit.rate * terms.horizon + limit.burst) + terms.margin;
--- a/toolroom/src/sim/mod.rs
+++ b/toolroom/src/sim/mod.rs
@@ -10,8 +10,10 @@
 use crate::config::Item;
 use crate::core::{self, Core};
 use crate::edge::{self, Edge};
+use crate::registry::Phase;
 use crate::settings::{Settings, Tolerance};
-use crate::wire::{Member, Msg};
+use crate::store::Records;
+use crate::wire::Msg;
 use actors::{Operator, Wk};
 use audit::Audit;
 use net::{LinkKey, Links, Who};
@@ -130,10 +132,9 @@
 }
 
 pub struct Disk {
-    pub synced: Vec<Item>,
-    pub members: Vec<Member>,
+    pub synced: Records,
     pub begun: bool,
-    pub writing: Vec<(u64, Vec<Item>, Vec<Member>)>,
+    pub writing: Vec<(u64, Records)>,
     pub free_at: f64,
     pub stalled_until: f64,
 }
@@ -222,8 +223,7 @@
     pub fn new(seed: u64, plan: Plan) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let disk = || Disk {
-            synced: Vec::new(),
-            members: Vec::new(),
+            synced: Records::default(),
             begun: false,
             writing: Vec::new(),
             free_at: 0.0,
@@ -327,8 +327,7 @@
                 node.frozen = false;
                 let wiped = !node.disk.begun && !node.cold;
                 node.cold = false;
-                let (items, members) = (node.disk.synced.clone(), node.disk.members.clone());
-                let mut core = Core::new(1000.0, settings, items, members, wiped);
+                let mut core = Core::new(1000.0, settings, node.disk.synced.clone(), wiped);
                 let mut out = Vec::new();
                 core.start(&mut out);
                 let life = node.life;
@@ -387,10 +386,10 @@
                 core::Effect::Send(ip, msg) => self.say(Who::Core(n), ip, msg),
                 core::Effect::Return(conn, msg) => self.say_back(conn, msg),
                 core::Effect::Reply(call, status, body) => self.replied(n, call, status, &body),
-                core::Effect::Persist(put, items, members) => {
+                core::Effect::Persist(put, records) => {
                     let life = self.cores[n].life;
                     let disk = &mut self.cores[n].disk;
-                    disk.writing.push((put, items, members));
+                    disk.writing.push((put, records));
                     disk.free_at = disk.free_at.max(self.now).max(disk.stalled_until) + 0.004;
                     let at = disk.free_at;
                     self.at(at, Ev::DiskDone(n, life, put));
@@ -595,39 +594,44 @@
         let (done, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.writing).into_iter().partition(|w| w.0 <= put);
         self.writing = rest;
-        for (_, items, members) in done {
-            self.take(items, members);
+        for (_, records) in done {
+            self.take(records);
         }
     }
 
-    fn take(&mut self, items: Vec<Item>, members: Vec<Member>) {
+    fn take(&mut self, records: Records) {
+        let Records { items, members, workers } = records;
         self.begun |= !items.is_empty() || !members.is_empty();
+        for worker in workers {
+            self.synced.workers.retain(|w| w.id != worker.id);
+            self.synced.workers.extend(Some(worker).filter(|w| w.phase <= Phase::Decaying));
+        }
         for item in items {
             let same = |i: &&mut Item| i.kind == item.kind && i.label == item.label;
-            match self.synced.iter_mut().find(same) {
+            match self.synced.items.iter_mut().find(same) {
                 Some(held) if held.version < item.version => *held = item,
                 Some(_) => {}
-                None => self.synced.push(item),
+                None => self.synced.items.push(item),
             }
         }
         for member in members {
-            self.members.retain(|m| m.ip != member.ip);
-            self.members.push(member);
+            self.synced.members.retain(|m| m.ip != member.ip);
+            self.synced.members.push(member);
         }
     }
 
     /// The process is gone: of what was not synced each write is there or not; after a loss of power none may be.
     fn crash(&mut self, power: bool, wipe: bool, rng: &mut fastrand::Rng) {
-        for (_, items, members) in std::mem::take(&mut self.writing) {
+        for (_, records) in std::mem::take(&mut self.writing) {
             if !power || rng.bool() {
-                self.take(items, members);
+                self.take(records);
             } else {
                 break;
             }
         }
         (self.free_at, self.stalled_until) = (0.0, 0.0);
         if wipe {
-            (self.synced, self.members, self.begun) = (Vec::new(), Vec::new(), false);
+            (self.synced, self.begun) = (Records::default(), false);
         }
     }
 }
--- a/toolroom/src/store.rs
+++ b/toolroom/src/store.rs
@@ -2,6 +2,7 @@
 //! system has begun. One thread writes; whoever waits hears once all is synced. It must never report what isn't.
 
 use crate::config::Item;
+use crate::registry::{Phase, Worker};
 use crate::wire::Member;
 use rusqlite::{params, Connection};
 use std::path::Path;
@@ -25,13 +26,22 @@
     }
 }
 
-/// What the disk held at the start.
-#[derive(Debug, Default)]
-pub struct Held {
-    /// Items, dropped ones too.
+/// What is kept.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// Items, dropped ones too: of each name the highest version stays.
     pub items: Vec<Item>,
     /// Core machines.
     pub members: Vec<Member>,
+    /// Workers as they were last known; those that ended go.
+    pub workers: Vec<Worker>,
+}
+
+/// What the disk held at the start.
+#[derive(Debug, Default)]
+pub struct Held {
+    /// All of it.
+    pub records: Records,
     /// Was anything ever written here?
     pub begun: bool,
 }
@@ -41,10 +51,12 @@
 pub struct Put {
     /// Its number; numbers rise.
     pub number: u64,
-    /// Items: the highest version stays.
-    pub items: Vec<Item>,
-    /// Core machines; none: as they were.
-    pub members: Vec<Member>,
+    /// What.
+    pub records: Records,
+}
+
+fn blob(record: &impl serde::Serialize) -> Result<Vec<u8>, StoreError> {
+    rmp_serde::to_vec(record).map_err(|e| StoreError::Row(e.to_string()))
 }
 
 /// The database in a folder.
@@ -65,7 +77,8 @@
         db.execute_batch(
             "CREATE TABLE IF NOT EXISTS items (kind TEXT, label TEXT, version INTEGER, item BLOB,
                  PRIMARY KEY (kind, label)) WITHOUT ROWID;
-             CREATE TABLE IF NOT EXISTS members (ip TEXT PRIMARY KEY, member BLOB) WITHOUT ROWID;",
+             CREATE TABLE IF NOT EXISTS members (ip TEXT PRIMARY KEY, member BLOB) WITHOUT ROWID;
+             CREATE TABLE IF NOT EXISTS workers (id TEXT PRIMARY KEY, worker BLOB) WITHOUT ROWID;",
         )?;
         let mut held = Held::default();
         let blobs = |sql: &str| -> Result<Vec<Vec<u8>>, StoreError> {
@@ -73,13 +86,15 @@
             let rows = statement.query_map([], |row| row.get(0))?;
             Ok(rows.collect::<Result<_, _>>()?)
         };
-        for blob in blobs("SELECT item FROM items")? {
-            held.items.push(rmp_serde::from_slice(&blob).map_err(|e| StoreError::Row(e.to_string()))?);
+        fn rows<T: serde::de::DeserializeOwned>(blobs: Vec<Vec<u8>>) -> Result<Vec<T>, StoreError> {
+            let read =
+                |blob: &Vec<u8>| rmp_serde::from_slice(blob).map_err(|e| StoreError::Row(e.to_string()));
+            blobs.iter().map(read).collect()
         }
-        for blob in blobs("SELECT member FROM members")? {
-            held.members.push(rmp_serde::from_slice(&blob).map_err(|e| StoreError::Row(e.to_string()))?);
-        }
-        held.begun = !held.items.is_empty() || !held.members.is_empty();
+        held.records.items = rows(blobs("SELECT item FROM items")?)?;
+        held.records.members = rows(blobs("SELECT member FROM members")?)?;
+        held.records.workers = rows(blobs("SELECT worker FROM workers")?)?;
+        held.begun = !held.records.items.is_empty() || !held.records.members.is_empty();
         Ok((Store { db }, held))
     }
 
@@ -87,20 +102,28 @@
     pub fn write(&mut self, puts: &[Put]) -> Result<(), StoreError> {
         let tx = self.db.transaction()?;
         for put in puts {
-            for item in &put.items {
-                let blob = rmp_serde::to_vec(item).map_err(|e| StoreError::Row(e.to_string()))?;
+            let Records { items, members, workers } = &put.records;
+            for item in items {
                 tx.execute(
                     "INSERT INTO items VALUES (?1, ?2, ?3, ?4) ON CONFLICT (kind, label) DO UPDATE
                      SET version = excluded.version, item = excluded.item WHERE excluded.version > version",
-                    params![item.kind.list(), item.label, item.version as i64, blob],
+                    params![item.kind.list(), item.label, item.version as i64, blob(item)?],
                 )?;
             }
-            for member in &put.members {
-                let blob = rmp_serde::to_vec(member).map_err(|e| StoreError::Row(e.to_string()))?;
-                tx.execute(
-                    "INSERT OR REPLACE INTO members VALUES (?1, ?2)",
-                    params![member.ip.to_string(), blob],
-                )?;
+            for member in members {
+                let ip = member.ip.to_string();
+                tx.execute("INSERT OR REPLACE INTO members VALUES (?1, ?2)", params![ip, blob(member)?])?;
+            }
+            for worker in workers {
+                match worker.phase {
+                    Phase::Settled | Phase::Decaying => tx.execute(
+                        "INSERT OR REPLACE INTO workers VALUES (?1, ?2)",
+                        params![&*worker.id, blob(worker)?],
+                    )?,
+                    Phase::Silent | Phase::Gone => {
+                        tx.execute("DELETE FROM workers WHERE id = ?1", params![&*worker.id])?
+                    }
+                };
             }
         }
         tx.commit()?;
@@ -145,7 +168,7 @@
 
     fn versions(folder: &Path) -> Vec<(String, u64)> {
         let (_, held) = Store::open(folder).expect("opens");
-        let mut found: Vec<_> = held.items.into_iter().map(|i| (i.label, i.version)).collect();
+        let mut found: Vec<_> = held.records.items.into_iter().map(|i| (i.label, i.version)).collect();
         found.sort();
         found
     }
@@ -156,7 +179,7 @@
     fn what_was_synced_outlives_a_later_write_that_is_torn_anywhere() {
         let whole = folder("whole");
         let (mut store, _) = Store::open(&whole).expect("opens");
-        let put = |number, items| Put { number, items, members: Vec::new() };
+        let put = |number, items| Put { number, records: Records { items, ..Records::default() } };
         store.write(&[put(1, vec![item("a", 3), item("b", 1)])]).expect("writes");
         let wal = |folder: &Path| folder.join("toolroom.sqlite-wal");
         let synced = std::fs::read(wal(&whole)).expect("a log");
@@ -191,7 +214,8 @@
             let _ = done.send(number);
         });
         for (number, items) in [(1, vec![item("a", 7)]), (2, vec![item("a", 5), item("b", 2)])] {
-            puts.send(Put { number, items, members: Vec::new() }).expect("taken");
+            let records = Records { items, ..Records::default() };
+            puts.send(Put { number, records }).expect("taken");
         }
         while synced.recv().expect("synced") < 2 {}
         drop(puts);
