Gatekeepers tell each other what they have out; the best of six candidates is chosen

Cause: each gatekeeper chose by its own attempts alone; with eleven of them two slots a worker fill by chance, and what was late or refused at 60 to 75% load came from that. Change: datagrams among gatekeepers with attempts out by worker, the own zone after 1 ms a gatekeeper, other zones at most every 0.2 s (bytes between zones cost); the module adds them to its own and compares six candidates instead of two.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -115,12 +115,13 @@
     pub(super) fn draw(&mut self, table: usize, need: &Need) -> Option<(HostId, f64)> {
         let sum = self.tables[table].last()?.0;
         let (mut best, mut found, mut resort) = (None::<(HostId, f64)>, 0, None);
-        for _ in 0..DRAWS {
+        for _ in 0..DRAWS.max(2 * self.draws) {
             let at = self.rng.f64() * sum;
             let table = &self.tables[table];
             let id = &table[table.partition_point(|t| t.0 <= at).min(table.len() - 1)].1;
             let Some(h) = self.hosts.get(id).filter(|h| self.fits(id, h, need)) else { continue };
-            let score = (h.work / (h.nominal * self.warmth(h)) + need.work) * self.slowness(h).max(1.0);
+            let score = ((h.work + h.elsewhere) / (h.nominal * self.warmth(h)) + need.work)
+                * self.slowness(h).max(1.0);
             if self.suspect(h, need.class) {
                 resort = Some((id.clone(), score));
                 continue;
@@ -129,7 +130,7 @@
                 best = Some((id.clone(), score));
             }
             found += 1;
-            if found == 2 {
+            if found == self.draws {
                 break;
             }
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -159,6 +159,8 @@
     pub(crate) out: u32,
     /// Work out there, in seconds of expected latency.
     pub(crate) work: f64,
+    /// Work out there from other gateways, where these tell: seconds of expected latency.
+    pub(crate) elsewhere: f64,
     /// Its answers' latency over what was expected of them.
     pub(crate) slow: f64,
     /// When that was last brought up to date.
@@ -316,6 +318,8 @@
     pub(crate) queue: f64,
     /// Attempts out.
     pub(crate) out: u32,
+    /// Candidates that are compared for an attempt.
+    pub(crate) draws: usize,
     /// Further attempts saved up.
     pub(crate) retries: f64,
     /// Classes that are no longer in force, or not as they were, by index: requests that came under them keep them.
@@ -370,6 +374,7 @@
             density: Default::default(),
             queue: Default::default(),
             out: Default::default(),
+            draws: 2,
             retries: Default::default(),
             retired: Default::default(),
             bequeathed: false,
--- a/toolroom/src/core/mod.rs
+++ b/toolroom/src/core/mod.rs
@@ -175,8 +175,10 @@
     /// The counter.
     pub seat: Seat,
     callers: BTreeMap<Conn, Caller>,
-    /// Gatekeepers by name: when last heard of.
-    gates: HashMap<String, f64>,
+    /// Gatekeepers by name: when last heard of, where.
+    gates: HashMap<String, (f64, Member)>,
+    /// Is there a gatekeeper that the others were not told of?
+    gates_news: bool,
     ticked: f64,
     pinged: f64,
 }
@@ -197,6 +199,7 @@
             shared: Shared { settings, me, members: all, heard: HashMap::new(), started: now, next: 0 },
             callers: BTreeMap::new(),
             gates: HashMap::new(),
+            gates_news: false,
             ticked: now,
             pinged: f64::NEG_INFINITY,
         }
@@ -243,7 +246,8 @@
         let hello = Msg::Hello {
             node: self.shared.settings.node.clone(),
             life: self.shared.settings_life(),
-            member: Some(self.shared.me.clone()),
+            me: self.shared.me.clone(),
+            core: true,
         };
         out.push(Effect::Send(ip, hello));
         out.push(Effect::Send(ip, Msg::Members(self.shared.members.values().cloned().collect())));
@@ -322,13 +326,15 @@
     }
 
     fn inbound(&mut self, now: f64, conn: Conn, msg: Msg, out: &mut Vec<Effect>) {
-        if let Msg::Hello { node, life, member } = msg {
-            let ip = member.as_ref().map(|m| m.ip);
+        if let Msg::Hello { node, life, me, core } = msg {
+            let ip = core.then_some(me.ip);
             let all: Vec<Member> = self.shared.members.values().cloned().collect();
             out.push(Effect::Return(conn, Msg::Members(all)));
-            match member {
-                Some(member) => self.meet(vec![member], out),
-                None => self.gates.extend([(node.clone(), now)]),
+            if core {
+                self.meet(vec![me], out);
+            } else {
+                self.gates_news = true;
+                self.gates.insert(node.clone(), (now, me));
             }
             self.callers
                 .insert(conn, Caller { node, life, member: ip, differs: 0, whole_at: now, told: false });
@@ -339,7 +345,9 @@
         }
         let Some(caller) = self.callers.get(&conn).cloned() else { return };
         if caller.member.is_none() {
-            self.gates.insert(caller.node.clone(), now);
+            if let Some((at, _)) = self.gates.get_mut(&caller.node) {
+                *at = now;
+            }
         }
         match msg {
             Msg::Members(members) => self.meet(members, out),
@@ -503,7 +511,14 @@
                 self.whole(now, conn, out);
             }
         }
-        self.gates.retain(|_, at| now - *at < GATE_KEPT);
+        let before = self.gates.len();
+        self.gates.retain(|_, (at, _)| now - *at < GATE_KEPT);
+        if std::mem::take(&mut self.gates_news) || self.gates.len() < before {
+            let all: Vec<Member> = self.gates.values().map(|(_, m)| m.clone()).collect();
+            for (conn, _) in self.callers.iter().filter(|(_, c)| c.member.is_none()) {
+                out.push(Effect::Return(*conn, Msg::Gates(all.clone())));
+            }
+        }
         self.keeper.tick(now, &mut self.shared, out);
         let silent = self.roster.tick(now, &self.shared, out);
         if !silent.is_empty() {
--- a/toolroom/src/edge/desk.rs
+++ b/toolroom/src/edge/desk.rs
@@ -172,10 +172,12 @@
                         service.sent(now, attempt == 0, &self.budget);
                     }
                     let Some(worker) = self.registry.get(&host.0) else {
+                        self.loads.begins(now, &host.0);
                         self.ended(now, &id, attempt, &host, Ending::Moot, None, out);
                         continue;
                     };
                     let address = worker.address;
+                    self.loads.begins(now, &host.0);
                     out.push(Effect::Dispatch { id, attempt, worker: host, address, within });
                 }
                 Action::Cancel { id, attempt } => out.push(Effect::CallOff(id, attempt)),
@@ -232,8 +234,9 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(r) = self.requests.get_mut(id) else { return };
-        let sent = r.out.iter().find(|(a, _)| *a == attempt).map_or(now, |(_, at)| *at);
+        let Some(sent) = r.out.iter().find(|(a, _)| *a == attempt).map(|(_, at)| *at) else { return };
         r.out.retain(|(a, _)| *a != attempt);
+        self.loads.ends(now, &worker.0);
         r.ran |= !ending.never_ran();
         r.late |= ending == Ending::Timeout;
         if whole == Some(false) {
--- a/toolroom/src/edge/mod.rs
+++ b/toolroom/src/edge/mod.rs
@@ -3,6 +3,7 @@
 //! never go back behind a version that it has served by, and never send a worker what it may have run.
 
 pub mod desk;
+pub mod load;
 pub mod service;
 
 use crate::budget;
@@ -11,8 +12,9 @@
 use crate::quota::{self, Quota};
 use crate::registry::{Merge, Phase, Registry, Worker};
 use crate::settings::Settings;
-use crate::wire::{Member, Msg};
+use crate::wire::{Load, Member, Msg};
 use desk::{Answer, Request};
+use load::Loads;
 use service::Service;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
@@ -30,6 +32,8 @@
     LinkDown(IpAddr),
     /// A core machine said this.
     Core(IpAddr, Msg),
+    /// Another gatekeeper has this out.
+    Told(IpAddr, Load),
 }
 
 /// What is to be done.
@@ -58,6 +62,8 @@
     Answer(RequestId, Answer),
     /// Close idle connections to a worker.
     CloseIdle(HostId),
+    /// Tell these gatekeepers, in a datagram each.
+    Tell(Vec<IpAddr>, Load),
 }
 
 /// Seconds between two ticks.
@@ -91,6 +97,9 @@
     services: BTreeMap<Arc<str>, Service>,
     requests: HashMap<RequestId, Request>,
     links: BTreeMap<IpAddr, CoreLink>,
+    loads: Loads,
+    /// Workers by their short names.
+    names: HashMap<u32, Arc<str>>,
     /// Requests that wait for the counter.
     waiting: Vec<RequestId>,
     workers_known: bool,
@@ -128,6 +137,11 @@
             services: BTreeMap::new(),
             requests: HashMap::new(),
             links: BTreeMap::new(),
+            loads: Loads::new(
+                Member { ip: settings.ip, zone: settings.zone.clone(), region: settings.region.clone() },
+                life,
+            ),
+            names: HashMap::new(),
             waiting: Vec::new(),
             workers_known: false,
             synced: false,
@@ -203,7 +217,9 @@
         match event {
             Event::Tick => self.tick(now, out),
             Event::LinkUp(ip) => {
-                let hello = Msg::Hello { node: self.settings.node.clone(), life: self.life, member: None };
+                let s = &self.settings;
+                let me = Member { ip: s.ip, zone: s.zone.clone(), region: s.region.clone() };
+                let hello = Msg::Hello { node: s.node.clone(), life: self.life, me, core: false };
                 out.push(Effect::Send(ip, hello));
                 out.push(Effect::Send(ip, self.ping()));
                 self.links.entry(ip).or_default().up = true;
@@ -216,6 +232,26 @@
                 }
             }
             Event::Core(ip, msg) => self.core(now, ip, msg, out),
+            Event::Told(ip, load) => {
+                let news = self.loads.told(now, ip, load);
+                self.heard_loads(news);
+            }
+        }
+    }
+
+    fn heard_loads(&mut self, news: Vec<(u32, u32)>) {
+        for (key, out) in news {
+            let Some(worker) = self.names.get(&key).and_then(|id| self.registry.get(id)) else { continue };
+            if let Some(service) = self.services.get_mut(&worker.service) {
+                service.elsewhere(&worker.id, out);
+            }
+        }
+    }
+
+    /// Tells the others what is out here, if it is time.
+    fn tell_loads(&mut self, now: f64, out: &mut Vec<Effect>) {
+        if let Some((to, load)) = self.loads.tell(now) {
+            out.push(Effect::Tell(to, load));
         }
     }
 
@@ -242,6 +278,7 @@
                 }
                 self.sync(now, out);
             }
+            Msg::Gates(gates) => self.loads.gates(gates),
             Msg::Items(items) => {
                 let news: Vec<String> = items
                     .into_iter()
@@ -290,6 +327,7 @@
         let mut touched: Vec<Arc<str>> = Vec::new();
         for worker in workers {
             let (id, service) = (worker.id.clone(), worker.service.clone());
+            self.names.insert(load::key(&id), id.clone());
             if self.registry.merge(now, worker, KEEP) != Merge::Changed {
                 continue;
             }
@@ -311,6 +349,9 @@
         self.service(name);
         if let Some(service) = self.services.get_mut(name) {
             service.workers(now, &self.registry, &mut actions);
+            for worker in self.registry.all().filter(|w| w.service == *name) {
+                service.elsewhere(&worker.id, self.loads.elsewhere(&worker.id));
+            }
         }
         self.carry_out(now, name, actions, out);
     }
@@ -351,7 +392,10 @@
     /// When a tick is wanted next at the latest.
     pub fn next(&self, now: f64) -> f64 {
         let modules = self.services.values().map(|s| s.due);
-        modules.fold(now + TICK, f64::min).min(self.quota.next(now).max(now + 0.005))
+        modules
+            .fold(now + TICK, f64::min)
+            .min(self.loads.next().max(now))
+            .min(self.quota.next(now).max(now + 0.005))
     }
 
     fn tick(&mut self, now: f64, out: &mut Vec<Effect>) {
@@ -363,9 +407,16 @@
             let up = self.links.iter().filter(|(_, l)| l.up).map(|(ip, _)| *ip);
             out.extend(up.map(|ip| Effect::Send(ip, ping.clone())));
             self.registry.sweep(now);
+            let news = self.loads.sweep(now);
+            self.heard_loads(news);
+            if self.names.len() > 4 * self.registry.all().count() + 64 {
+                let registry = &self.registry;
+                self.names.retain(|_, id| registry.get(id).is_some());
+            }
         }
         self.sync(now, out);
         self.decide_waiting(now, 0, out);
+        self.tell_loads(now, out);
         for name in self.services.keys().cloned().collect::<Vec<_>>() {
             let mut actions = Vec::new();
             if let Some(service) = self.services.get_mut(&name).filter(|s| now >= s.due) {
--- a/toolroom/src/edge/service.rs
+++ b/toolroom/src/edge/service.rs
@@ -16,6 +16,9 @@
 /// Workers are cold for about so long; what each says of itself goes before this.
 const WARM_AFTER: f64 = 3.0;
 
+/// Candidates that are compared for an attempt: what other gatekeepers have out is known, so the best of many is good.
+const COMPARED: usize = 6;
+
 /// A class of requests: what the module tells apart.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sort {
@@ -94,7 +97,8 @@
     /// One of which no worker is known.
     pub fn new(name: Arc<str>, zone: &str, ordinal: u32, gates: u32, seed: u64) -> Self {
         let settings = settings(zone, ordinal, gates);
-        let module = Gateway::new(settings.clone(), seed);
+        let mut module = Gateway::new(settings.clone(), seed);
+        module.compare(COMPARED);
         Service { name, module, settings, sorts: Vec::new(), budget: Budget::default(), due: f64::INFINITY }
     }
 
@@ -169,6 +173,11 @@
         );
     }
 
+    /// Attempts that other gatekeepers have out at a worker.
+    pub fn elsewhere(&mut self, worker: &Arc<str>, attempts: u32) {
+        self.module.out_elsewhere(&HostId(Arc::clone(worker)), attempts);
+    }
+
     /// The client has left.
     pub fn left(&mut self, now: f64, id: &RequestId, out: &mut Vec<Action>) {
         self.handle(now, Event::Departed { id: id.clone() }, 0.0, out);
--- a/toolroom/src/jig.rs
+++ b/toolroom/src/jig.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::{oneshot, watch, Notify};
 use whinstall::{Ending, HostId, RequestId};
@@ -71,6 +71,7 @@
     pending: RefCell<HashMap<RequestId, Pending>>,
     courier: Courier,
     port: u16,
+    hints: UdpSocket,
     next: Cell<u64>,
     /// Wakes the ticks when something is due earlier than they think.
     due: Cell<f64>,
@@ -129,6 +130,13 @@
                 }
             }
             Effect::CloseIdle(worker) => self.courier.close(&worker.0),
+            Effect::Tell(to, load) => {
+                let Ok(bytes) = rmp_serde::to_vec(&load) else { return };
+                for ip in to {
+                    // Lost where the way is full: it is told again.
+                    let _ = self.hints.try_send_to(&bytes, SocketAddr::new(ip, self.port));
+                }
+            }
         }
     }
 
@@ -439,6 +447,7 @@
     tracing::info!(node = settings.node, life, "edge role starts");
     let (port, grace) = (settings.inner_port, settings.envelope.grace);
     let descriptors = settings.descriptors.saturating_sub(300).max(64);
+    let hints = UdpSocket::bind((settings.ip, port)).await.map_err(crate::RunError::Listen)?;
     let jig = Rc::new(Jig {
         edge: RefCell::new(Edge::new(settings, life)),
         clock,
@@ -446,6 +455,7 @@
         pending: RefCell::default(),
         courier: Courier::new(descriptors / 2),
         port,
+        hints,
         next: Cell::new(1),
         due: Cell::new(0.0),
         wake: Notify::new(),
@@ -462,6 +472,20 @@
     }
     tokio::task::spawn_local(readiness(Rc::clone(&jig), ready));
     tokio::task::spawn_local(front(Rc::clone(&jig), clients));
+    let hearing = Rc::clone(&jig);
+    tokio::task::spawn_local(async move {
+        let mut bytes = vec![0; 65536];
+        loop {
+            match hearing.hints.recv_from(&mut bytes).await {
+                Ok((length, from)) => {
+                    if let Ok(load) = rmp_serde::from_slice(&bytes[..length]) {
+                        hearing.handle(Event::Told(from.ip(), load));
+                    }
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    });
     let ticking = Rc::clone(&jig);
     tokio::task::spawn_local(async move {
         let mut looked = Instant::now();
--- a/toolroom/src/sim/mod.rs
+++ b/toolroom/src/sim/mod.rs
@@ -13,7 +13,7 @@
 use crate::registry::Phase;
 use crate::settings::{Settings, Tolerance};
 use crate::store::Records;
-use crate::wire::Msg;
+use crate::wire::{Load, Msg};
 use actors::{Operator, Wk};
 use audit::Audit;
 use net::{LinkKey, Links, Who};
@@ -38,6 +38,7 @@
     Ask,
     Arrive(Hit),
     Finish(usize, Hit),
+    Told(usize, usize, Load),
     Ended(Hit, whinstall::Ending, bool),
     Operate,
     Fault(Fault),
@@ -432,6 +433,16 @@
                 edge::Effect::CallOff(id, attempt) => self.called_off(n, life, id, attempt),
                 edge::Effect::Answer(id, answer) => self.answered(n, life, id, answer),
                 edge::Effect::CloseIdle(_) => {}
+                edge::Effect::Tell(to, load) => {
+                    for ip in to {
+                        // One in a hundred is lost.
+                        if let (IpAddr::V4(v4), true) = (ip, self.rng.f64() > 0.01) {
+                            let delay = self.delay();
+                            let to = usize::from(v4.octets()[3]) - 1;
+                            self.after(delay, Ev::Told(n, to, load.clone()));
+                        }
+                    }
+                }
             }
         }
     }
@@ -566,6 +577,10 @@
                 Ev::Arrive(hit) => self.arrive(hit),
                 Ev::Finish(worker, hit) => self.finish(worker, hit),
                 Ev::Ended(hit, ending, misdirected) => self.ended(hit, ending, misdirected),
+                Ev::Told(from, to, load) => {
+                    let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 2, from as u8 + 1));
+                    self.edge_call(to, |edge, now, out| edge.handle(now, edge::Event::Told(ip, load), out));
+                }
                 Ev::Operate => self.operate(),
                 Ev::Fault(fault) => self.fault(fault),
                 Ev::Mend(fault) => self.mend(fault),
--- a/toolroom/src/wire.rs
+++ b/toolroom/src/wire.rs
@@ -60,9 +60,13 @@
         node: String,
         /// The start.
         life: u64,
-        /// Set where a core machine calls.
-        member: Option<Member>,
+        /// Where it is.
+        me: Member,
+        /// Is it of the core?
+        core: bool,
     },
+    /// Gatekeepers that were seen lately.
+    Gates(Vec<Member>),
     /// Core machines that are known.
     Members(Vec<Member>),
     /// Sent in each direction while nothing else is: digests of configuration and workers as held.
@@ -168,6 +172,17 @@
     },
 }
 
+/// What a gatekeeper has out, told to the others in a datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The start of the gatekeeper.
+    pub life: u64,
+    /// Rises with each.
+    pub number: u64,
+    /// Attempts out by worker (the low half of its name's hash); others: none.
+    pub out: Vec<(u32, u16)>,
+}
+
 /// Why bytes are no message.
 #[derive(Debug, displaydoc::Display)]
 pub enum WireError {
