Links: 0.15 s for a connection to come up at first, doubling

Cause: after a loss of power, connections to machines still without it hung for 0.7 s each, so gatekeepers met the core and the core itself late (configuration 0.8 s, counter 0.9 s after the start). Change: 0.15 s at first, twice as long each time, up to 1.2 s for machines far away.

--- a/toolroom/src/link.rs
+++ b/toolroom/src/link.rs
@@ -11,8 +11,10 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::timeout;
 
-/// A connection comes up within this.
-const DIAL: Duration = Duration::from_millis(700);
+/// A connection comes up within this, at first: a machine without power says nothing, and may have it again soon...
+const DIAL_FIRST: Duration = Duration::from_millis(150);
+/// ...and within twice as long each time after that, up to this: it may also be far away.
+const DIAL_LAST: Duration = Duration::from_millis(1200);
 /// The next try, after one that failed.
 const AGAIN: Duration = Duration::from_millis(100);
 /// The other side says something this often, or the connection is given up.
@@ -81,8 +83,11 @@
     mut outgoing: UnboundedReceiver<Msg>,
     mut happens: impl FnMut(Happens),
 ) {
+    let mut dial = DIAL_FIRST;
     loop {
-        if let Ok(Ok(stream)) = timeout(DIAL, TcpStream::connect(address)).await {
+        let dialled = timeout(dial, TcpStream::connect(address)).await;
+        dial = if dialled.is_err() && dial < DIAL_LAST { 2 * dial } else { DIAL_FIRST };
+        if let Ok(Ok(stream)) = dialled {
             // What was to be said on an earlier connection is stale.
             while outgoing.try_recv().is_ok() {}
             happens(Happens::Up);
