--- a/toolroom/src/anvil.rs
+++ b/toolroom/src/anvil.rs
@@ -3,7 +3,7 @@
 
 use crate::config::read_call;
 use crate::core::{fault, Command, Conn, Core, Effect, Event, TICK};
-use crate::http::{self, Bounds, Connection, HttpError};
+use crate::http::{self, Bounds, Connection, HttpError, Room};
 use crate::link::{self, Happens};
 use crate::paths::{At, PathError};
 use crate::registry::{Phase, Worker};
@@ -29,6 +29,8 @@
     head_within: Duration::from_secs(3),
     body_within: Duration::from_secs(10),
 };
+/// Bodies may take this part of the memory: one over so many.
+const BODIES_PART: usize = 8;
 /// A caller's connection may be idle for this long.
 const IDLE: Duration = Duration::from_secs(30);
 /// After SIGTERM calls under way are answered, for so long at the most.
@@ -45,6 +47,7 @@
     disk: RefCell<Option<blocking::Sender<Put>>>,
     next: Cell<u64>,
     port: u16,
+    room: Rc<Room>,
 }
 
 impl Anvil {
@@ -106,7 +109,7 @@
                 Ok(Ok(())) => {}
                 _ => return,
             }
-            let (response, body) = match connection.request(&BOUNDS).await {
+            let (response, body) = match connection.request(&BOUNDS, &self.room).await {
                 Ok(whole) => self.answer(&whole.head, whole.body.unwrap_or_default()).await,
                 Err(HttpError::Gone) => return,
                 Err(HttpError::Rejected(status, why)) => {
@@ -204,6 +207,7 @@
         "core role starts"
     );
     let (port, ip) = (settings.inner_port, settings.ip);
+    let room = Room::new(settings.memory as usize / BODIES_PART);
     let core = Core::new(clock.now(), settings, held.records, wiped);
     let anvil = Rc::new(Anvil {
         core: RefCell::new(core),
@@ -214,6 +218,7 @@
         disk: RefCell::default(),
         next: Cell::new(1),
         port,
+        room,
     });
     let (synced, mut syncs) = unbounded_channel();
     *anvil.disk.borrow_mut() = store.map(|store| {
--- a/toolroom/src/edge/desk.rs
+++ b/toolroom/src/edge/desk.rs
@@ -45,7 +45,9 @@
     /// May it have run?
     ran: bool,
     answered: bool,
+    /// Attempts of the module, and those of them that were sent.
     attempts: u32,
+    sent: u32,
     out: Vec<(u32, f64)>,
     /// Waits for the counter until then, or until the sync of this number is answered.
     waits: Option<(f64, u64)>,
@@ -85,6 +87,7 @@
             ran: false,
             answered: false,
             attempts: 0,
+            sent: 0,
             out: Vec::new(),
             waits: None,
             failure: None,
@@ -166,6 +169,14 @@
                     let Some(r) = self.requests.get_mut(&id) else { continue };
                     let attempt = r.attempts;
                     r.attempts += 1;
+                    if r.sent >= r.most {
+                        // Its route allows no more workers: as if it had never been sent.
+                        r.out.push((attempt, now));
+                        self.loads.begins(now, &host.0);
+                        self.ended(now, &id, attempt, &host, Ending::Moot, None, out);
+                        continue;
+                    }
+                    r.sent += 1;
                     r.out.push((attempt, now));
                     let left = (r.deadline - now).max(0.0);
                     let within = timeout.map_or(left, |t| t.as_secs_f64().min(left));
@@ -244,7 +255,7 @@
             r.failure = Some(attempt);
         }
         let (name, done) = (Arc::clone(&r.service), ending == Ending::Ok || r.answered);
-        let may = r.attempts < r.most && now < r.deadline;
+        let may = r.sent < r.most && now < r.deadline;
         if ending == Ending::Ok {
             self.finish(id, Answer::Worker(attempt), out);
         }
--- a/toolroom/src/edge/mod.rs
+++ b/toolroom/src/edge/mod.rs
@@ -110,23 +110,27 @@
     ending: bool,
 }
 
+fn quota_terms(settings: &Settings) -> quota::Terms {
+    let e = &settings.envelope;
+    quota::Terms {
+        every: seat::SYNC_EVERY,
+        overdue: seat::OVERDUE,
+        lapse: seat::lapse(settings),
+        overshoot: e.quota_overshoot,
+        margin: e.quota_margin,
+        horizon: e.quota_horizon.as_secs_f64(),
+    }
+}
+
+fn budget_terms(settings: &Settings) -> budget::Terms {
+    let e = &settings.envelope;
+    budget::Terms { ratio: e.retry_ratio, window: e.retry_window.as_secs_f64(), slack: e.retry_slack }
+}
+
 impl Edge {
     /// One that knows nothing yet; `life` differs for each start.
     pub fn new(settings: Settings, life: u64) -> Self {
-        let e = &settings.envelope;
-        let terms = quota::Terms {
-            every: seat::SYNC_EVERY,
-            overdue: seat::OVERDUE,
-            lapse: seat::lapse(&settings),
-            overshoot: e.quota_overshoot,
-            margin: e.quota_margin,
-            horizon: e.quota_horizon.as_secs_f64(),
-        };
-        let budget = budget::Terms {
-            ratio: e.retry_ratio,
-            window: e.retry_window.as_secs_f64(),
-            slack: e.retry_slack,
-        };
+        let (terms, budget) = (quota_terms(&settings), budget_terms(&settings));
         let items = Items::default();
         Edge {
             view: Arc::new(View::fold(&items)),
@@ -169,8 +173,9 @@
     }
 
     /// Can clients be served? Once the configuration and its workers are known and the counter was met.
-    pub fn is_ready(&self) -> bool {
-        !self.ending && self.can_serve()
+    pub fn is_ready(&self, now: f64) -> bool {
+        let limited = self.view.tenants().values().any(|t| t.rate > 0.0);
+        !self.ending && self.can_serve() && !(limited && self.quota.is_lapsed(now))
     }
 
     /// The same without regard to an end.
@@ -204,12 +209,13 @@
         self.requests.len()
     }
 
-    /// Other settings from now on: other seeds are reached for; bounds that count from the start keep.
+    /// Other settings from now on: other seeds are reached for, other bounds hold.
     pub fn retune(&mut self, settings: Settings, out: &mut Vec<Effect>) {
         for seed in &settings.seeds {
             self.reach(seed.ip(), out);
         }
-        self.settings = settings;
+        (self.budget, self.settings) = (budget_terms(&settings), settings);
+        self.quota.retune(quota_terms(&self.settings));
     }
 
     /// Takes an event at `now`, in seconds of a steady clock.
--- a/toolroom/src/edge/service.rs
+++ b/toolroom/src/edge/service.rs
@@ -19,6 +19,9 @@
 /// Candidates that are compared for an attempt: what other gatekeepers have out is known, so the best of many is good.
 const COMPARED: usize = 6;
 
+/// Each route has its own bound below this.
+const ATTEMPTS_MOST: u32 = 4;
+
 /// A class of requests: what the module tells apart.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sort {
@@ -75,7 +78,7 @@
         may_cancel: true,
         may_duplicate: true,
         may_probe: false,
-        max_attempts: 2,
+        max_attempts: ATTEMPTS_MOST,
         retry_after: true,
         max_retry_after: Duration::from_secs(1),
         on_request: false,
--- a/toolroom/src/http.rs
+++ b/toolroom/src/http.rs
@@ -11,6 +11,8 @@
 };
 use actix_http::{Method, StatusCode};
 use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -41,6 +43,45 @@
     pub head: Request,
     /// Its body; `None`: it has none, which is not the same as an empty one.
     pub body: Option<Bytes>,
+    /// Its part of what bodies may take.
+    pub held: Held,
+}
+
+/// What bodies may take together.
+pub struct Room {
+    most: usize,
+    used: Cell<usize>,
+}
+
+impl Room {
+    /// So many bytes.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Room { most, used: Cell::new(0) })
+    }
+
+    fn hold(self: &Rc<Self>, bytes: usize) -> Result<Held, HttpError> {
+        let used = self.used.get().saturating_add(bytes);
+        if used > self.most {
+            return Err(HttpError::Rejected(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no room for the body: not run",
+            ));
+        }
+        self.used.set(used);
+        Ok(Held { room: Rc::clone(self), bytes })
+    }
+}
+
+/// A part of it, free again when this is dropped.
+pub struct Held {
+    room: Rc<Room>,
+    bytes: usize,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.room.used.set(self.room.used.get() - self.bytes);
+    }
 }
 
 /// Why there is no request.
@@ -95,7 +136,7 @@
     }
 
     /// The next request, whole.
-    pub async fn request(&mut self, bounds: &Bounds) -> Result<Whole, HttpError> {
+    pub async fn request(&mut self, bounds: &Bounds, room: &Rc<Room>) -> Result<Whole, HttpError> {
         let late = HttpError::Rejected(StatusCode::REQUEST_TIMEOUT, "not whole in time");
         let head = timeout(bounds.head_within, self.head(bounds)).await.map_err(|_| late)??;
         let too_long = || HttpError::Rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
@@ -104,14 +145,21 @@
             return Err(too_long());
         }
         if self.codec.message_type() == MessageType::None {
-            return Ok(Whole { body: claimed.map(|_| Bytes::new()), head });
+            return Ok(Whole { body: claimed.map(|_| Bytes::new()), head, held: room.hold(0)? });
         }
+        let mut held = vec![room.hold(claimed.unwrap_or(0) as usize)?];
         if head.head().expect() {
             let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
         let late = HttpError::Rejected(StatusCode::REQUEST_TIMEOUT, "body not whole in time");
-        let body = timeout(bounds.body_within, self.body(bounds)).await.map_err(|_| late)??;
-        Ok(Whole { head, body: Some(body) })
+        let told = claimed.is_some();
+        let reading = self.body(bounds, |bytes| match told {
+            true => Ok(()),
+            false => room.hold(bytes).map(|part| held.push(part)),
+        });
+        let body = timeout(bounds.body_within, reading).await.map_err(|_| late)??;
+        drop(held);
+        Ok(Whole { held: room.hold(body.len())?, head, body: Some(body) })
     }
 
     async fn head(&mut self, bounds: &Bounds) -> Result<Request, HttpError> {
@@ -128,7 +176,11 @@
         }
     }
 
-    async fn body(&mut self, bounds: &Bounds) -> Result<Bytes, HttpError> {
+    async fn body(
+        &mut self,
+        bounds: &Bounds,
+        mut hold: impl FnMut(usize) -> Result<(), HttpError>,
+    ) -> Result<Bytes, HttpError> {
         let mut body = BytesMut::new();
         loop {
             match self.codec.decode(&mut self.read) {
@@ -136,7 +188,10 @@
                 Ok(Some(Message::Chunk(Some(chunk)))) if body.len() + chunk.len() > bounds.body_bytes => {
                     return Err(HttpError::Rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too long"))
                 }
-                Ok(Some(Message::Chunk(Some(chunk)))) => body.extend_from_slice(&chunk),
+                Ok(Some(Message::Chunk(Some(chunk)))) => {
+                    hold(chunk.len())?;
+                    body.extend_from_slice(&chunk);
+                }
                 Ok(None) => self.more().await?,
                 Ok(Some(Message::Item(_))) | Err(_) => {
                     return Err(HttpError::Rejected(StatusCode::BAD_REQUEST, "body not whole"))
--- a/toolroom/src/jig.rs
+++ b/toolroom/src/jig.rs
@@ -4,7 +4,7 @@
 use crate::courier::{Courier, Forward, Reply, LOOK};
 use crate::edge::desk::{Answer, Arrival};
 use crate::edge::{Edge, Effect, Event};
-use crate::http::{self, Bounds, Connection, HttpError, Whole};
+use crate::http::{self, Bounds, Connection, HttpError, Room, Whole};
 use crate::link::{self, Happens};
 use crate::settings::Settings;
 use crate::wire::Msg;
@@ -24,6 +24,8 @@
 
 /// A body comes within this.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
+/// Bodies of requests under way may take this part of the memory: one over so many.
+const BODIES_PART: usize = 4;
 /// A gatekeeper that does not know its configuration yet may know it after this: seconds.
 const NOT_YET: f64 = 0.25;
 /// Where a request does not say how long its client waits.
@@ -79,6 +81,7 @@
     ending: watch::Sender<Option<Instant>>,
     open: Cell<usize>,
     descriptors: usize,
+    room: Rc<Room>,
 }
 
 impl Jig {
@@ -246,7 +249,7 @@
                     }
                 }
             }
-            let (mut response, body) = match connection.request(&bounds).await {
+            let (mut response, body) = match connection.request(&bounds, &self.room).await {
                 Ok(whole) => match self.answer(whole, &mut connection).await {
                     Some(answer) => answer,
                     None => return,
@@ -254,6 +257,9 @@
                 Err(HttpError::Gone) => return,
                 Err(HttpError::Rejected(status, why)) => {
                     let (mut response, body) = http::plain(status, why);
+                    if status == StatusCode::SERVICE_UNAVAILABLE {
+                        response.insert_header(("retry-after", NOT_YET.to_string()));
+                    }
                     response.force_close();
                     (response, body)
                 }
@@ -273,7 +279,7 @@
         whole: Whole,
         connection: &mut Connection,
     ) -> Option<(ResponseBuilder, Bytes)> {
-        let Whole { head, body } = whole;
+        let Whole { head, body, held: _held } = whole;
         let view = Arc::clone(&self.edge.borrow().view);
         let host = head.headers().get("host").and_then(|h| h.to_str().ok()).unwrap_or_default();
         if !self.edge.borrow().is_configured() {
@@ -297,7 +303,8 @@
             return Some(http::plain(StatusCode::BAD_REQUEST, "no X-Attempt-Id"));
         };
         let left = head.headers().get("x-remaining-ms").and_then(|v| v.to_str().ok()?.trim().parse().ok());
-        let left = left.map_or(LEFT_MOST, Duration::from_millis).min(LEFT_MOST * 20);
+        let left = left.and_then(|ms: f64| Duration::try_from_secs_f64(ms / 1e3).ok());
+        let left = left.unwrap_or(LEFT_MOST).min(LEFT_MOST * 20);
         let mut headers: HeaderMap = head.headers().clone();
         // What its sender says concerns this connection only goes no further.
         let named: Vec<String> = headers
@@ -392,8 +399,8 @@
         tokio::task::spawn_local(async move {
             let idle = Duration::from_secs(10);
             while let Ok(Ok(())) = tokio::time::timeout(idle, connection.first()).await {
-                let Ok(_) = connection.request(&bounds).await else { return };
-                let ready = jig.edge.borrow().is_ready();
+                let Ok(_) = connection.request(&bounds, &jig.room).await else { return };
+                let ready = jig.edge.borrow().is_ready(jig.clock.now());
                 let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 let (response, body) = http::plain(status, "");
                 if !matches!(connection.answer(response, body).await, Ok(true)) {
@@ -447,6 +454,7 @@
     tracing::info!(node = settings.node, life, "edge role starts");
     let (port, grace) = (settings.inner_port, settings.envelope.grace);
     let descriptors = settings.descriptors.saturating_sub(300).max(64);
+    let room = Room::new(settings.memory as usize / BODIES_PART);
     let hints = UdpSocket::bind((settings.ip, port)).await.map_err(crate::RunError::Listen)?;
     let jig = Rc::new(Jig {
         edge: RefCell::new(Edge::new(settings, life)),
@@ -462,6 +470,7 @@
         ending: watch::Sender::new(None),
         open: Cell::new(0),
         descriptors,
+        room,
     });
     let ready = TcpListener::bind(ready_at).await.map_err(crate::RunError::Listen)?;
     let clients = TcpListener::bind(front_at).await.map_err(crate::RunError::Listen)?;
--- a/toolroom/src/quota.rs
+++ b/toolroom/src/quota.rs
@@ -119,6 +119,16 @@
         self.gates = gates;
     }
 
+    /// Other terms from now on.
+    pub fn retune(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
+    /// Have the standing shares lapsed, so that nothing limited can pass here?
+    pub fn is_lapsed(&self, now: f64) -> bool {
+        now - self.synced_at > self.terms.lapse
+    }
+
     /// Has the counter been silent for too long?
     pub fn is_apart(&self, now: f64) -> bool {
         now - self.synced_at > self.terms.overdue
--- a/toolroom/src/sim/actors.rs
+++ b/toolroom/src/sim/actors.rs
@@ -282,7 +282,8 @@
             "key-free"
         };
         let path = ["/read/x", "/write/x", "/flip/x"][self.rng.usize(0..3)];
-        let ready = |n: &usize| self.edges[*n].edge.as_ref().is_some_and(|e| e.is_ready());
+        let now = |n: usize| 1000.0 + (self.now - self.edges[n].boot) * self.edges[n].drift;
+        let ready = |n: &usize| self.edges[*n].edge.as_ref().is_some_and(|e| e.is_ready(now(*n)));
         let edges: Vec<usize> =
             (0..self.edges.len()).filter(ready).filter(|n| !self.edges[*n].frozen).collect();
         if edges.is_empty() {
--- a/toolroom/src/sim/mod.rs
+++ b/toolroom/src/sim/mod.rs
@@ -4,18 +4,19 @@
 
 mod actors;
 mod audit;
+mod faults;
 mod net;
 mod stories;
 
 use crate::config::Item;
 use crate::core::{self, Core};
 use crate::edge::{self, Edge};
-use crate::registry::Phase;
 use crate::settings::{Settings, Tolerance};
 use crate::store::Records;
 use crate::wire::{Load, Msg};
 use actors::{Operator, Wk};
 use audit::Audit;
+use faults::{Disk, Fault};
 use net::{LinkKey, Links, Who};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{IpAddr, Ipv4Addr};
@@ -74,72 +75,6 @@
     pub request: u64,
 }
 
-/// A trouble.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Fault {
-    /// Killed; back after so many seconds. `power`: unsynced writes go; `wipe`: the disk, too.
-    KillCore {
-        core: usize,
-        down: f64,
-        power: bool,
-        wipe: bool,
-    },
-    KillEdge {
-        edge: usize,
-        down: f64,
-    },
-    /// Cut off from the other core machines.
-    CutCore {
-        core: usize,
-        secs: f64,
-        one_way: bool,
-    },
-    /// Cut off from the core.
-    CutEdge {
-        edge: usize,
-        secs: f64,
-    },
-    StallDisk {
-        core: usize,
-        secs: f64,
-    },
-    /// A process does not run for a while.
-    Freeze {
-        who: Who,
-        secs: f64,
-    },
-    /// All core processes are killed at the same moment.
-    KillAllCore {
-        down: f64,
-    },
-    /// Every machine loses power; the disks of some are lost.
-    PowerOffAll {
-        down: f64,
-        wipe: Vec<usize>,
-    },
-    CrashWorker {
-        worker: usize,
-        dark: bool,
-    },
-    /// Says that it leaves, and leaves.
-    DrainWorker {
-        worker: usize,
-    },
-    /// One tenant sends this many times its usual.
-    Hot {
-        times: f64,
-        secs: f64,
-    },
-}
-
-pub struct Disk {
-    pub synced: Records,
-    pub begun: bool,
-    pub writing: Vec<(u64, Records)>,
-    pub free_at: f64,
-    pub stalled_until: f64,
-}
-
 pub struct CoreNode {
     pub core: Option<Core>,
     pub life: u64,
@@ -602,51 +537,3 @@
         }
     }
 }
-
-impl Disk {
-    /// All up to this write is synced.
-    fn land(&mut self, put: u64) {
-        let (done, rest): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.writing).into_iter().partition(|w| w.0 <= put);
-        self.writing = rest;
-        for (_, records) in done {
-            self.take(records);
-        }
-    }
-
-    fn take(&mut self, records: Records) {
-        let Records { items, members, workers } = records;
-        self.begun |= !items.is_empty() || !members.is_empty();
-        for worker in workers {
-            self.synced.workers.retain(|w| w.id != worker.id);
-            self.synced.workers.extend(Some(worker).filter(|w| w.phase <= Phase::Decaying));
-        }
-        for item in items {
-            let same = |i: &&mut Item| i.kind == item.kind && i.label == item.label;
-            match self.synced.items.iter_mut().find(same) {
-                Some(held) if held.version < item.version => *held = item,
-                Some(_) => {}
-                None => self.synced.items.push(item),
-            }
-        }
-        for member in members {
-            self.synced.members.retain(|m| m.ip != member.ip);
-            self.synced.members.push(member);
-        }
-    }
-
-    /// The process is gone: of what was not synced each write is there or not; after a loss of power none may be.
-    fn crash(&mut self, power: bool, wipe: bool, rng: &mut fastrand::Rng) {
-        for (_, records) in std::mem::take(&mut self.writing) {
-            if !power || rng.bool() {
-                self.take(records);
-            } else {
-                break;
-            }
-        }
-        (self.free_at, self.stalled_until) = (0.0, 0.0);
-        if wipe {
-            (self.synced, self.begun) = (Records::default(), false);
-        }
-    }
-}
--- a/toolroom/src/sim/stories.rs
+++ b/toolroom/src/sim/stories.rs
@@ -1,7 +1,8 @@
 //! What must hold in troubles, each told by seeds.
 
+use super::faults::Fault;
 use super::net::Who;
-use super::{Ev, Fault, Plan, World};
+use super::{Ev, Plan, World};
 use googletest::prelude::*;
 
 fn played(seed: u64, plan: Plan, faults: &[(f64, Fault)]) -> World {
--- a/toolroom/src/wire.rs
+++ b/toolroom/src/wire.rs
@@ -218,3 +218,67 @@
     let body = read.split_to(length);
     rmp_serde::from_slice(&body).map(Some).map_err(WireError::Unreadable)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::registry::Phase;
+    use googletest::prelude::*;
+
+    /// Guards the bytes between zones, which are dear: what a change, a heartbeat and the regular calls cost
+    /// (docs/system.md goes by these).
+    #[gtest]
+    fn messages_are_as_small_as_the_docs_say() {
+        let worker = Worker {
+            id: "i-7f3a91c2aa".into(),
+            service: "huvo11a".into(),
+            address: ([10, 128, 0, 9], 8080).into(),
+            zone: "cluj-sala-a".into(),
+            capacity: 2,
+            phase: Phase::Settled,
+            warmup_ms: 0,
+            calls: 40,
+        };
+        let charge = Charge { tenant: "yefi830".into(), charged: 4000, asks: 3.5, share: 9.5, waits: 0 };
+        let total = Total { tenant: "yefi830".into(), total: 60.0, until: 4010, share: 9.5, empty_ms: 0 };
+        let out = vec![(0xdead_beef, 2); 4];
+        let sizes = [
+            ("a worker's news", encode(&Msg::Workers(vec![worker])).len(), 90),
+            ("a heartbeat passed on", encode(&Msg::Alive(vec![("i-7f3a91c2aa".into(), 40)])).len(), 30),
+            ("a ping", encode(&Msg::Ping { config: u64::MAX, workers: u64::MAX }).len(), 35),
+            ("eight tenants' charges", encode(&Msg::Sync { ask: 9000, charges: vec![charge; 8] }).len(), 220),
+            (
+                "eight tenants' totals",
+                encode(&Msg::Totals { ask: 9000, held: true, totals: vec![total; 8] }).len(),
+                240,
+            ),
+            (
+                "what is out",
+                rmp_serde::to_vec(&Load { life: u64::MAX, number: 9000, out }).expect("written").len(),
+                45,
+            ),
+        ];
+        for (what, size, most) in sizes {
+            expect_that!(size, le(most), "{what}");
+        }
+    }
+
+    /// Guards processes against bytes that are no message, wherever they are cut or changed.
+    #[gtest]
+    fn bytes_that_are_no_message_are_turned_back_whole() {
+        let whole = encode(&Msg::Alive(vec![("i-1".into(), 7)]));
+        for end in 0..whole.len() {
+            expect_that!(matches!(decode(&mut BytesMut::from(&whole[..end])), Ok(None)), eq(true));
+        }
+        let mut rng = fastrand::Rng::with_seed(3);
+        for _ in 0..2000 {
+            let mut bytes = whole.clone();
+            let at = rng.usize(4..bytes.len());
+            bytes[at] = rng.u8(..);
+            // Never a panic; what is read as something else is some other message.
+            let _ = decode(&mut BytesMut::from(&bytes[..]));
+        }
+        let mut long = BytesMut::from(&u32::MAX.to_be_bytes()[..]);
+        expect_that!(decode(&mut long), err(anything()));
+    }
+}
