--- a/toolroom/src/anvil.rs
+++ b/toolroom/src/anvil.rs
@@ -157,6 +157,9 @@
     if http::is(head, Method::GET, "/whinstall/configuration/read") {
         return Ok(Some(Command::Read));
     }
+    if http::is(head, Method::GET, "/whinstall/journal") {
+        return Ok(Some(Command::Journal));
+    }
     let Some(rest) = head.path().strip_prefix("/whinstall/instances/") else { return Ok(None) };
     match rest.rsplit_once('/') {
         Some((id, "heartbeat")) if head.method() == Method::POST => {
--- a/toolroom/src/core/keeper.rs
+++ b/toolroom/src/core/keeper.rs
@@ -6,6 +6,7 @@
 use super::{fault, CallId, Conn, Effect, Shared};
 use crate::config::call::judge;
 use crate::config::{Item, Items};
+use crate::journal::Fact;
 use crate::store::Records;
 use crate::wire::Msg;
 use serde_json::json;
@@ -68,6 +69,12 @@
         Keeper { items: held, caught_up: !wiped, ops: HashMap::new(), writing: Vec::new(), retry_at: 0.0 }
     }
 
+    /// Appends items to the journal and folds them; returned: those that changed what holds.
+    fn take(&mut self, items: &[Item], shared: &mut Shared) -> Vec<Item> {
+        let (now, journal) = (shared.now, &mut shared.journal);
+        items.iter().filter(|i| journal.item(now, (*i).clone(), &mut self.items)).cloned().collect()
+    }
+
     /// Writes items; whoever waits hears once they are synced.
     fn write(&mut self, items: Vec<Item>, waiter: Waiter, shared: &mut Shared, out: &mut Vec<Effect>) {
         let put = shared.number();
@@ -108,9 +115,7 @@
         shared: &mut Shared,
         out: &mut Vec<Effect>,
     ) {
-        for item in &items {
-            self.items.merge(item.clone());
-        }
+        self.take(&items, shared);
         // Also where they are no news here: what is known may not be synced yet, and writes go in order.
         self.write(items, Waiter::Remote(conn, ask), shared, out);
     }
@@ -152,7 +157,7 @@
         out: &mut Vec<Effect>,
     ) -> Vec<Item> {
         let found = !items.is_empty();
-        let news: Vec<Item> = items.into_iter().filter(|i| self.items.merge(i.clone())).collect();
+        let news = self.take(&items, shared);
         if let Some(op) = self.ops.get_mut(&ask) {
             op.found |= found;
             // One that lost its disk tells what it has, but its not having something says nothing.
@@ -187,20 +192,20 @@
             Wish::CatchUp => {
                 tracing::info!(items = self.items.all().count(), "caught up after the loss of the disk");
                 self.caught_up = true;
+                shared.journal.append(shared.now, Fact::CaughtUp);
             }
             Wish::Read => out.push(Effect::Reply(op.call, 200, self.items.render())),
             Wish::Amend(items) => match judge(&self.items, items) {
                 Err(error) => {
                     tracing::warn!(%error, "refused a configuration");
+                    shared.journal.append(shared.now, Fact::Refused(error.to_string()));
                     out.push(Effect::Reply(op.call, 400, fault(error)));
                 }
                 Ok(news) => {
                     let versions = news.iter().map(|i| format!("{}=r{}", i.label, i.version));
                     tracing::info!(items = versions.collect::<Vec<_>>().join(" "), "takes a configuration");
                     let items = items.clone();
-                    for item in &items {
-                        self.items.merge(item.clone());
-                    }
+                    self.take(&items, shared);
                     // All items of the call: what was held before may not be on enough disks either.
                     for ip in shared.peers() {
                         out.push(Effect::Send(ip, Msg::Put { ask, items: items.clone() }));
@@ -242,6 +247,7 @@
         copies.insert(ip);
         if shared.may_hold_all(copies.iter()) {
             tracing::info!(copies = copies.len(), "acknowledges a configuration");
+            shared.journal.append(shared.now, Fact::Acknowledged(copies.len()));
             out.push(Effect::Reply(op.call, 200, json!({})));
             self.ops.remove(&ask);
         }
@@ -255,6 +261,7 @@
             if !matches!(op.wish, Wish::CatchUp) {
                 let step = if matches!(op.step, Step::Asking(_)) { "answers" } else { "synced copies" };
                 tracing::warn!(step, "too few core machines for a call in time");
+                shared.journal.append(now, Fact::Unanswered(step));
                 out.push(Effect::Reply(op.call, 503, fault("too few core machines in time")));
             }
         }
--- a/toolroom/src/core/mod.rs
+++ b/toolroom/src/core/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::config::{Item, Kind};
 use crate::counter::Limit;
+use crate::journal::{Fact, Journal};
 use crate::registry::Worker;
 use crate::settings::Settings;
 use crate::store::Records;
@@ -36,6 +37,8 @@
     Amend(Vec<Item>),
     /// What stands?
     Read,
+    /// What happened here?
+    Journal,
 }
 
 /// What happens to this process.
@@ -119,6 +122,10 @@
     pub heard: HashMap<IpAddr, f64>,
     /// When this process started.
     pub started: f64,
+    /// The time of the event at hand.
+    pub now: f64,
+    /// What happened here.
+    pub journal: Journal,
     next: u64,
 }
 
@@ -196,7 +203,16 @@
             keeper: Keeper::new(held.items, wiped),
             roster: Roster::new(&settings, now, held.workers),
             seat: Seat::new(&settings),
-            shared: Shared { settings, me, members: all, heard: HashMap::new(), started: now, next: 0 },
+            shared: Shared {
+                settings,
+                me,
+                members: all,
+                heard: HashMap::new(),
+                started: now,
+                now,
+                journal: Journal::default(),
+                next: 0,
+            },
             callers: BTreeMap::new(),
             gates: HashMap::new(),
             gates_news: false,
@@ -219,6 +235,7 @@
 
     /// Takes an event at `now`, in seconds of a steady clock.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Effect>) {
+        self.shared.now = now;
         match event {
             Event::Tick => self.tick(now, out),
             Event::LinkUp(ip) => self.link_up(ip, out),
@@ -298,6 +315,7 @@
             Msg::Promise { ask, ms } => {
                 let taken = self.seat.promised(now, ip, ask, ms, &self.shared);
                 if taken {
+                    self.shared.journal.append(now, Fact::Holds(true));
                     tracing::info!(sure = self.seat.is_sure(), "holds the counter");
                 }
             }
@@ -440,7 +458,7 @@
 
     /// Workers' news: what is new here goes to the gatekeepers, and to the core if it was told here first.
     fn news(&mut self, now: f64, workers: Vec<Worker>, first: Option<()>, out: &mut Vec<Effect>) {
-        let (changed, contested) = self.roster.merge(now, workers);
+        let (changed, contested) = self.roster.merge(now, workers, &mut self.shared.journal);
         self.persist_workers(&changed, out);
         if !changed.is_empty() && self.shared.majority(now) {
             for (conn, _) in self.callers.iter().filter(|(_, c)| c.member.is_none()) {
@@ -467,6 +485,7 @@
         match command {
             Command::Amend(items) => self.keeper.amend(now, call, items, &mut self.shared, out),
             Command::Read => self.keeper.read(now, call, &mut self.shared, out),
+            Command::Journal => out.push(Effect::Reply(call, 200, self.shared.journal.tell(now))),
             Command::Beat(_) | Command::Departure(_) if !self.shared.majority(now) => {
                 out.push(Effect::Reply(call, 503, fault("out of touch with most of the core")));
             }
@@ -494,6 +513,7 @@
         if now - self.ticked > 5.0 * TICK {
             // This process was away: others' silence tells nothing.
             tracing::warn!(seconds = now - self.ticked, "was not running");
+            self.shared.journal.append(now, Fact::Away(now - self.ticked));
             self.roster.excuse(now);
         }
         self.ticked = now;
@@ -520,7 +540,7 @@
             }
         }
         self.keeper.tick(now, &mut self.shared, out);
-        let silent = self.roster.tick(now, &self.shared, out);
+        let silent = self.roster.tick(now, &mut self.shared, out);
         if !silent.is_empty() {
             self.persist_workers(&silent, out);
             for (conn, _) in self.callers.iter().filter(|(_, c)| c.member.is_none()) {
--- a/toolroom/src/core/roster.rs
+++ b/toolroom/src/core/roster.rs
@@ -2,6 +2,7 @@
 //! who has fallen silent. It must never acknowledge a worker's leaving before enough of the core knows of it.
 
 use super::{fault, CallId, Effect, Shared};
+use crate::journal::{Fact, Journal};
 use crate::registry::{Merge, Phase, Registry, Worker};
 use crate::settings::Settings;
 use crate::wire::Msg;
@@ -61,11 +62,16 @@
     }
 
     /// Takes news; returned: what changed here, and what others hold wrongly as silent.
-    pub fn merge(&mut self, now: f64, workers: Vec<Worker>) -> (Vec<Worker>, Vec<Worker>) {
+    pub fn merge(
+        &mut self,
+        now: f64,
+        workers: Vec<Worker>,
+        journal: &mut Journal,
+    ) -> (Vec<Worker>, Vec<Worker>) {
         let (mut changed, mut contested) = (Vec::new(), Vec::new());
         for worker in workers {
             let (id, phase) = (worker.id.clone(), worker.phase);
-            match self.registry.merge(now, worker, KEEP) {
+            match journal.worker(now, worker, &mut self.registry, KEEP) {
                 Merge::Changed => {
                     let Some(held) = self.registry.get(&id) else { continue };
                     tracing::info!(worker = %held.id, service = %held.service, phase = ?held.phase, "worker");
@@ -156,7 +162,7 @@
     }
 
     /// Upkeep; returned: workers that are silent from now on.
-    pub fn tick(&mut self, now: f64, shared: &Shared, out: &mut Vec<Effect>) -> Vec<Worker> {
+    pub fn tick(&mut self, now: f64, shared: &mut Shared, out: &mut Vec<Effect>) -> Vec<Worker> {
         let late: Vec<u64> = self.holdings.iter().filter(|(_, h)| h.until <= now).map(|(a, _)| *a).collect();
         for ask in late {
             let Some(holding) = self.holdings.remove(&ask) else { continue };
@@ -185,6 +191,7 @@
         if !silent.is_empty() {
             for worker in &silent {
                 tracing::warn!(worker = %worker.id, service = %worker.service, "worker fell silent");
+                shared.journal.append(now, Fact::Worker(worker.clone()));
             }
             for ip in shared.peers() {
                 out.push(Effect::Send(ip, Msg::Workers(silent.clone())));
--- a/toolroom/src/core/seat.rs
+++ b/toolroom/src/core/seat.rs
@@ -3,6 +3,7 @@
 
 use super::{Effect, Shared};
 use crate::counter::{Counter, Limit, Shares, Terms};
+use crate::journal::Fact;
 use crate::settings::Settings;
 use crate::wire::{Charge, Msg, Total};
 use std::collections::BTreeSet;
@@ -147,6 +148,7 @@
         }
         if self.counter.is_some() && !self.holds(now) {
             tracing::warn!("no longer holds the counter");
+            shared.journal.append(now, Fact::Holds(false));
             self.counter = None;
         }
         let me = shared.me.ip;
@@ -159,8 +161,9 @@
             self.promise = Some((me, now + PROMISE));
             self.claim = Some((ask, now, BTreeSet::from([me])));
             out.extend(shared.peers().into_iter().map(|ip| Effect::Send(ip, Msg::Claim { ask })));
-            if shared.members.len() == 1 {
-                self.take(now, now);
+            if shared.members.len() == 1 && self.take(now, now) {
+                tracing::info!(sure = self.is_sure(), "holds the counter");
+                shared.journal.append(now, Fact::Holds(true));
             }
         }
         if !self.holds(now) {
--- /dev/null
+++ b/toolroom/src/journal.rs
@@ -0,0 +1,133 @@
+//! Owns the journal of the core role: what was taken, refused, acknowledged and lost, appended in memory in the order
+//! it happened. The lists of items and workers are views folded from it; of what was folded the newest part is kept,
+//! for whoever asks what this process did. It must never decide anything, nor grow without bound.
+
+use crate::config::{Item, Items};
+use crate::registry::{Merge, Phase, Registry, Worker};
+use serde_json::{json, Value};
+use std::collections::VecDeque;
+
+/// Entries that are kept.
+const KEPT: usize = 2000;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Fact {
+    /// An item was heard of, by a call or from another core machine.
+    Item(Item),
+    /// A worker was heard of.
+    Worker(Worker),
+    /// A call was judged invalid.
+    Refused(String),
+    /// Enough disks hold the items of a call.
+    Acknowledged(usize),
+    /// Too few core machines answered a call in time.
+    Unanswered(&'static str),
+    /// This machine holds the counter from now on, or no longer.
+    Holds(bool),
+    /// This machine's disk counts again.
+    CaughtUp,
+    /// This process did not run for so many seconds.
+    Away(f64),
+}
+
+impl Fact {
+    fn tell(&self) -> Value {
+        match self {
+            Fact::Item(i) => {
+                json!({ "item": i.label, "list": i.kind.list(), "revision": format!("r{}", i.version), "dropped": i.body.is_none() })
+            }
+            Fact::Worker(w) => {
+                json!({ "worker": &*w.id, "service_ref": &*w.service, "phase": phase(w.phase), "call_count": w.calls })
+            }
+            Fact::Refused(why) => json!({ "refused": why }),
+            Fact::Acknowledged(copies) => json!({ "acknowledged": true, "copies": copies }),
+            Fact::Unanswered(what) => json!({ "too_few_in_time": what }),
+            Fact::Holds(holds) => json!({ "holds_counter": holds }),
+            Fact::CaughtUp => json!({ "caught_up": true }),
+            Fact::Away(seconds) => json!({ "was_away_s": seconds }),
+        }
+    }
+}
+
+fn phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Settled => "settled",
+        Phase::Decaying => "decaying",
+        Phase::Silent => "silent",
+        Phase::Gone => "gone",
+    }
+}
+
+/// What happened, the newest last.
+#[derive(Default)]
+pub struct Journal {
+    facts: VecDeque<(u64, f64, Fact)>,
+    appended: u64,
+}
+
+impl Journal {
+    /// Something happened at `now`.
+    pub fn append(&mut self, now: f64, fact: Fact) {
+        self.appended += 1;
+        self.facts.push_back((self.appended, now, fact));
+        while self.facts.len() > KEPT {
+            self.facts.pop_front();
+        }
+    }
+
+    /// Appends an item and folds it; `true`: it changed what holds.
+    pub fn item(&mut self, now: f64, item: Item, view: &mut Items) -> bool {
+        let news = view.is_news(&item);
+        if news {
+            self.append(now, Fact::Item(item.clone()));
+        }
+        view.merge(item);
+        news
+    }
+
+    /// Appends a worker and folds it. What only says that it lives is not kept.
+    pub fn worker(&mut self, now: f64, worker: Worker, view: &mut Registry, keep: f64) -> Merge {
+        let merged = view.merge(now, worker.clone(), keep);
+        if merged == Merge::Changed {
+            self.append(now, Fact::Worker(worker));
+        }
+        merged
+    }
+
+    /// What is kept, with ages in seconds.
+    pub fn tell(&self, now: f64) -> Value {
+        let entry = |(number, at, fact): &(u64, f64, Fact)| {
+            let mut told = fact.tell();
+            (told["number"], told["age_s"]) = (json!(number), json!(((now - at) * 1e3).round() / 1e3));
+            told
+        };
+        json!({ "appended": self.appended, "facts": self.facts.iter().map(entry).collect::<Vec<_>>() })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::Kind;
+    use googletest::prelude::*;
+
+    /// Guards memory, and the order in which things are told.
+    #[gtest]
+    fn the_newest_are_kept_and_what_changes_nothing_is_not() {
+        let (mut journal, mut items) = (Journal::default(), Items::default());
+        for version in 1..=KEPT as u64 + 10 {
+            for _ in 0..2 {
+                let item = Item { kind: Kind::Route, label: "r".into(), version, body: None };
+                journal.item(version as f64, item, &mut items);
+            }
+        }
+        let told = journal.tell(KEPT as f64 + 20.0);
+        expect_that!(told["appended"], eq(&json!(KEPT + 10)));
+        let facts = told["facts"].as_array().expect("a list");
+        expect_that!(facts.len(), eq(KEPT));
+        expect_that!(facts[0]["revision"], eq(&json!("r11")));
+        expect_that!(facts[KEPT - 1]["age_s"], eq(&json!(10.0)));
+        expect_that!(items.version(Kind::Route, "r"), some(eq(KEPT as u64 + 10)));
+    }
+}
--- a/toolroom/src/main.rs
+++ b/toolroom/src/main.rs
@@ -10,6 +10,7 @@
 mod edge;
 mod http;
 mod jig;
+mod journal;
 mod link;
 mod paths;
 mod quota;
--- a/toolroom/tests/whole.rs
+++ b/toolroom/tests/whole.rs
@@ -336,6 +336,12 @@
         }
     }
     expect_that!(whole.ask("/once/x", "", ""), ends_with("papers"));
+    // What happened is told.
+    let journal =
+        say(whole.control, "GET /whinstall/journal HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n");
+    for word in ["\"item\":\"r1\"", "\"worker\":\"i-1\"", "\"acknowledged\":true", "\"holds_counter\":true"] {
+        expect_that!(journal, contains_substring(word));
+    }
 }
 
 #[gtest]
