--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,5 +1,5 @@
-//! Attempts: what the class allows, within the time and the retry budget; one final answer. It must never send again
-//! what may have run and must not run twice.
+//! Attempts: what the class allows, within the time and the retry budget; one final answer. It must never
+//! send again what may have run and must not run twice.
 use crate::gateway::interface::*;
 use crate::gateway::rules::{Actions, Fate};
 use crate::gateway::state::*;
--- a/src/gateway/caps.rs
+++ b/src/gateway/caps.rs
@@ -1,5 +1,5 @@
-//! The open cap, by the same counter, and the ceiling, a hard store at each gateway with no trust in it. It must never
-//! let more through because the counter is silent.
+//! The open cap, by the same counter, and the ceiling, a hard store at each gateway with no trust in it. It
+//! must never let more through because the counter is silent.
 use crate::gateway::interface::*;
 use crate::gateway::rules::Actions;
 use crate::gateway::state::*;
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -1,5 +1,5 @@
-//! The choice of a host: ready ones only, the better of two, failing ones left out, cold ones fed by a budget; and what
-//! outcomes tell of hosts and connections. It must never choose one that is not on the list.
+//! The choice of a host: ready ones only, the better of two, failing ones left out, cold ones fed by a
+//! budget; and what outcomes tell of hosts and connections. It must never choose one that is not on the list.
 use crate::gateway::interface::*;
 use crate::gateway::rules::Actions;
 use crate::gateway::state::*;
--- a/src/gateway/rules.rs
+++ b/src/gateway/rules.rs
@@ -1,5 +1,6 @@
-//! The events, and the ordinary path of a request through the decisions: quota (`window`), caps (`caps`), pressure
-//! (`pressure`), host (`choice`), attempts (`attempts`), upkeep (`upkeep`). Types are in `interface.rs`.
+//! The events, and the ordinary path of a request through the decisions: quota (`window`), caps (`caps`),
+//! pressure (`pressure`), host (`choice`), attempts (`attempts`), upkeep (`upkeep`). Types are in
+//! `interface.rs`.
 use crate::gateway::interface::*;
 use crate::gateway::state::*;
 use crate::gateway::window::ASKED_S;
--- a/src/gateway/window.rs
+++ b/src/gateway/window.rs
@@ -1,5 +1,5 @@
-//! The quota: each request is charged its cost against its customer's global window total, which is told to the
-//! counter and read from it. It must never decide where a request goes.
+//! The quota: each request is charged its cost against its customer's global window total, which is told to
+//! the counter and read from it. It must never decide where a request goes.
 use crate::gateway::interface::*;
 use crate::gateway::rules::Actions;
 use crate::gateway::state::*;
@@ -24,7 +24,7 @@
 pub(super) const ASKED_S: f64 = 20.0; // time constant of what a customer asks at this gateway
 const OVERDUE: f64 = 0.1; // ...and so does one whose next sync the pace holds back for this long
 pub(super) const OPEN_TELL: f64 = 0.04; // attempts shorter than this are not worth a call
-pub(super) const OPEN_WINDOW: f64 = 4.0; // attempts out are re-stated in a new count this often: what the dead left goes
+pub(super) const OPEN_WINDOW: f64 = 4.0; // attempts out are re-stated this often: what the dead left goes
 pub(super) const FLOW_S: f64 = 1.5; // time constant of the rates of work sent and done
 
 impl Customer {
