Read again: one accept loop, one set of links, counts that keep themselves

Cause: on reading the whole change, both drivers kept their own copy of the connections to the core, four loops accepted in four copies, the count of open connections to workers was kept by hand beside a guard that does it, a look for unread bytes stood twice, taking the counter was told in two places, an attempt was booked in two branches, and the keeper took parameters that it never read. Change: link::Links and link::accepted, the guard lives in each idle connection, http::quiet, Seat::take tells it, one booking, parameters gone. Behaviour as before.

--- a/toolroom/src/anvil.rs
+++ b/toolroom/src/anvil.rs
@@ -4,7 +4,7 @@
 use crate::config::read_call;
 use crate::core::{fault, Command, Conn, Core, Effect, Event, TICK};
 use crate::http::{self, Bounds, Connection, HttpError, Room};
-use crate::link::{self, Happens};
+use crate::link::{self, Happens, Links};
 use crate::paths::{At, PathError};
 use crate::registry::{Phase, Worker};
 use crate::settings::Settings;
@@ -14,7 +14,7 @@
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::mpsc as blocking;
 use std::time::Duration;
@@ -41,12 +41,11 @@
 struct Anvil {
     core: RefCell<Core>,
     clock: crate::Clock,
-    links: RefCell<HashMap<IpAddr, Queue>>,
+    links: Links,
     conns: RefCell<HashMap<Conn, Queue>>,
     calls: RefCell<HashMap<u64, oneshot::Sender<(u16, Value)>>>,
     disk: RefCell<Option<blocking::Sender<Put>>>,
     next: Cell<u64>,
-    port: u16,
     room: Rc<Room>,
 }
 
@@ -61,11 +60,7 @@
         for effect in effects {
             match effect {
                 Effect::Connect(ip) => self.connect(ip),
-                Effect::Send(ip, msg) => {
-                    if let Some(queue) = self.links.borrow().get(&ip) {
-                        let _ = queue.send(msg);
-                    }
-                }
+                Effect::Send(ip, msg) => self.links.say(ip, msg),
                 Effect::Return(conn, msg) => {
                     if let Some(queue) = self.conns.borrow().get(&conn) {
                         let _ = queue.send(msg);
@@ -86,20 +81,14 @@
     }
 
     fn connect(self: &Rc<Self>, ip: IpAddr) {
-        if self.links.borrow().contains_key(&ip) {
-            return;
-        }
-        let (queue, outgoing) = unbounded_channel();
-        self.links.borrow_mut().insert(ip, queue);
         let this = Rc::clone(self);
-        let address = SocketAddr::new(ip, self.port);
-        tokio::task::spawn_local(link::keep(address, outgoing, move |happens| {
+        self.links.open(ip, move |happens| {
             this.handle(match happens {
                 Happens::Up => Event::LinkUp(ip),
                 Happens::Said(msg) => Event::Peer(ip, msg),
                 Happens::Down => Event::LinkDown(ip),
             });
-        }));
+        });
     }
 
     /// Serves a caller's connection.
@@ -215,12 +204,11 @@
     let anvil = Rc::new(Anvil {
         core: RefCell::new(core),
         clock,
-        links: RefCell::default(),
+        links: Links::new(port),
         conns: RefCell::default(),
         calls: RefCell::default(),
         disk: RefCell::default(),
         next: Cell::new(1),
-        port,
         room,
     });
     let (synced, mut syncs) = unbounded_channel();
@@ -255,13 +243,8 @@
     tokio::task::spawn_local(async move {
         let config = http::config();
         loop {
-            match control.accept().await {
-                Ok((stream, _)) => {
-                    let connection = Connection::new(stream, &config);
-                    tokio::task::spawn_local(Rc::clone(&serving).converse(connection));
-                }
-                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
-            }
+            let connection = Connection::new(link::accepted(&control).await, &config);
+            tokio::task::spawn_local(Rc::clone(&serving).converse(connection));
         }
     });
     let mut ticks = tokio::time::interval(Duration::from_secs_f64(TICK));
--- a/toolroom/src/core/keeper.rs
+++ b/toolroom/src/core/keeper.rs
@@ -83,12 +83,12 @@
     }
 
     /// Writes items that nobody here waits for.
-    pub fn persist(&mut self, items: Vec<Item>, _: Option<()>, shared: &mut Shared, out: &mut Vec<Effect>) {
+    pub fn persist(&mut self, items: Vec<Item>, shared: &mut Shared, out: &mut Vec<Effect>) {
         self.write(items, Waiter::Nobody, shared, out);
     }
 
     /// All up to this number is synced. Items that are on the disk now: the gatekeepers may have them.
-    pub fn disk(&mut self, now: f64, put: u64, shared: &mut Shared, out: &mut Vec<Effect>) -> Vec<Item> {
+    pub fn disk(&mut self, put: u64, shared: &mut Shared, out: &mut Vec<Effect>) -> Vec<Item> {
         let mut news = Vec::new();
         let done: Vec<_> = {
             let (done, rest) = std::mem::take(&mut self.writing).into_iter().partition(|w| w.0 <= put);
@@ -99,7 +99,7 @@
             news.extend(items);
             match waiter {
                 Waiter::Remote(conn, ask) => out.push(Effect::Return(conn, Msg::Synced { ask })),
-                Waiter::Own(ask) => self.copied(now, shared.me.ip, ask, shared, out),
+                Waiter::Own(ask) => self.copied(shared.me.ip, ask, shared, out),
                 Waiter::Nobody => {}
             }
         }
@@ -149,7 +149,6 @@
     /// What another machine holds. Returned: what is news here, to be written.
     pub fn holding(
         &mut self,
-        _now: f64,
         (ip, ask): (IpAddr, u64),
         items: Vec<Item>,
         caught_up: bool,
@@ -219,19 +218,12 @@
     }
 
     /// Another machine's disk holds what was put there.
-    pub fn synced(
-        &mut self,
-        now: f64,
-        ip: IpAddr,
-        ask: u64,
-        shared: &mut Shared,
-        out: &mut Vec<Effect>,
-    ) -> Vec<Item> {
+    pub fn synced(&mut self, ip: IpAddr, ask: u64, shared: &mut Shared, out: &mut Vec<Effect>) -> Vec<Item> {
         let items = match self.ops.get(&ask).map(|op| &op.wish) {
             Some(Wish::Amend(items)) => items.clone(),
             _ => Vec::new(),
         };
-        self.copied(now, ip, ask, shared, out);
+        self.copied(ip, ask, shared, out);
         // In force once enough disks hold it, though this one may hang.
         if self.ops.contains_key(&ask) {
             Vec::new()
@@ -241,7 +233,7 @@
     }
 
     /// One more disk holds the items of a call.
-    fn copied(&mut self, _now: f64, ip: IpAddr, ask: u64, shared: &mut Shared, out: &mut Vec<Effect>) {
+    fn copied(&mut self, ip: IpAddr, ask: u64, shared: &mut Shared, out: &mut Vec<Effect>) {
         let Some(op) = self.ops.get_mut(&ask) else { return };
         let Step::Putting(copies) = &mut op.step else { return };
         copies.insert(ip);
--- a/toolroom/src/core/mod.rs
+++ b/toolroom/src/core/mod.rs
@@ -249,7 +249,7 @@
             }
             Event::Call(call, command) => self.call(now, call, command, out),
             Event::Disk(put) => {
-                let news = self.keeper.disk(now, put, &mut self.shared, out);
+                let news = self.keeper.disk(put, &mut self.shared, out);
                 self.push_items(news, out);
             }
             Event::Ending => {
@@ -304,21 +304,15 @@
         match msg {
             Msg::Members(members) => self.meet(members, out),
             Msg::Holding { ask, items, caught_up } => {
-                let news = self.keeper.holding(now, (ip, ask), items, caught_up, &mut self.shared, out);
+                let news = self.keeper.holding((ip, ask), items, caught_up, &mut self.shared, out);
                 self.persist(news, out);
             }
             Msg::Synced { ask } => {
-                let news = self.keeper.synced(now, ip, ask, &mut self.shared, out);
+                let news = self.keeper.synced(ip, ask, &mut self.shared, out);
                 self.push_items(news, out);
             }
             Msg::Held { ask } => self.roster.held(ip, ask, &self.shared, out),
-            Msg::Promise { ask, ms } => {
-                let taken = self.seat.promised(now, ip, ask, ms, &self.shared);
-                if taken {
-                    self.shared.journal.append(now, Fact::Holds(true));
-                    tracing::info!(sure = self.seat.is_sure(), "holds the counter");
-                }
-            }
+            Msg::Promise { ask, ms } => self.seat.promised(now, ip, ask, ms, &mut self.shared),
             Msg::Ping { config, workers } => self.digests(now, ip, config, workers, out),
             _ => {}
         }
@@ -339,7 +333,7 @@
     fn persist(&mut self, news: Vec<Item>, out: &mut Vec<Effect>) {
         if !news.is_empty() {
             tracing::info!(items = news.len(), "caught up on items of another core machine");
-            self.keeper.persist(news, None, &mut self.shared, out);
+            self.keeper.persist(news, &mut self.shared, out);
         }
     }
 
@@ -376,9 +370,9 @@
                 out.push(Effect::Return(conn, Msg::Holding { ask, items, caught_up }));
             }
             Msg::Put { ask, items } => self.keeper.put(conn, ask, items, &mut self.shared, out),
-            Msg::Workers(workers) | Msg::AllWorkers { workers, .. } => self.news(now, workers, None, out),
+            Msg::Workers(workers) | Msg::AllWorkers { workers, .. } => self.news(now, workers, false, out),
             Msg::Hold { ask, workers } => {
-                self.news(now, workers, None, out);
+                self.news(now, workers, false, out);
                 out.push(Effect::Return(conn, Msg::Held { ask }));
             }
             Msg::Alive(heard) => {
@@ -457,7 +451,7 @@
     }
 
     /// Workers' news: what is new here goes to the gatekeepers, and to the core if it was told here first.
-    fn news(&mut self, now: f64, workers: Vec<Worker>, first: Option<()>, out: &mut Vec<Effect>) {
+    fn news(&mut self, now: f64, workers: Vec<Worker>, first: bool, out: &mut Vec<Effect>) {
         let (changed, contested) = self.roster.merge(now, workers, &mut self.shared.journal);
         self.persist_workers(&changed, out);
         if !changed.is_empty() && self.shared.majority(now) {
@@ -466,7 +460,7 @@
             }
         }
         // Somebody took for silent what was heard of here since.
-        let tell = if first.is_some() { changed } else { contested };
+        let tell = if first { changed } else { contested };
         if !tell.is_empty() {
             let peers = self.shared.peers();
             out.extend(peers.into_iter().map(|ip| Effect::Send(ip, Msg::Workers(tell.clone()))));
@@ -491,7 +485,7 @@
             }
             Command::Beat(worker) => {
                 let leaving = worker.phase != crate::registry::Phase::Settled;
-                self.news(now, vec![worker.clone()], Some(()), out);
+                self.news(now, vec![worker.clone()], true, out);
                 self.roster.refreshed(&worker);
                 match leaving {
                     true => self.roster.hold(now, call, worker, &mut self.shared, out),
@@ -503,7 +497,7 @@
                     // Unknown here: nothing is to be taken away.
                     return out.push(Effect::Reply(call, 200, json!({})));
                 };
-                self.news(now, vec![worker.clone()], Some(()), out);
+                self.news(now, vec![worker.clone()], true, out);
                 self.roster.hold(now, call, worker, &mut self.shared, out);
             }
         }
--- a/toolroom/src/core/seat.rs
+++ b/toolroom/src/core/seat.rs
@@ -67,11 +67,6 @@
         self.counter.is_some() && now < self.held_until && !self.ended
     }
 
-    /// Does the counter know of all standing shares?
-    pub fn is_sure(&self) -> bool {
-        self.known.is_some()
-    }
-
     /// Another machine wants to hold the counter: for how many milliseconds it is promised to be the only one.
     pub fn claimed(&mut self, now: f64, ip: IpAddr) -> Option<u32> {
         if self.promise.is_some_and(|(other, until)| other != ip && until > now) {
@@ -86,29 +81,30 @@
         self.promise = self.promise.filter(|p| p.0 != ip);
     }
 
-    /// Another machine has promised, or not. `true`: the counter is held from now on.
-    pub fn promised(&mut self, now: f64, ip: IpAddr, ask: u64, ms: Option<u32>, shared: &Shared) -> bool {
-        let Some((number, sent, yes)) = &mut self.claim else { return false };
+    /// Another machine has promised, or not.
+    pub fn promised(&mut self, now: f64, ip: IpAddr, ask: u64, ms: Option<u32>, shared: &mut Shared) {
+        let Some((number, sent, yes)) = &mut self.claim else { return };
         if *number != ask || ms.is_none() {
-            return false;
+            return;
         }
         yes.insert(ip);
-        if 2 * yes.len() <= shared.members.len() {
-            return false;
+        if 2 * yes.len() > shared.members.len() {
+            let sent = *sent;
+            self.take(now, sent, shared);
         }
-        let sent = *sent;
-        self.take(now, sent)
     }
 
-    fn take(&mut self, now: f64, sent: f64) -> bool {
+    /// Most of the core has promised what was asked at `sent`.
+    fn take(&mut self, now: f64, sent: f64, shared: &mut Shared) {
         let held = self.holds(now);
         self.held_until = self.held_until.max(sent + RELY);
         if held || now >= self.held_until {
-            return false;
+            return;
         }
         let known = self.known.as_ref().map(|(shares, at)| (shares, now - at));
+        tracing::info!(sure = known.is_some(), "holds the counter");
+        shared.journal.append(now, Fact::Holds(true));
         self.counter = Some(Counter::new(self.terms, now, known));
-        true
     }
 
     /// The holder told its shares.
@@ -161,9 +157,8 @@
             self.promise = Some((me, now + PROMISE));
             self.claim = Some((ask, now, BTreeSet::from([me])));
             out.extend(shared.peers().into_iter().map(|ip| Effect::Send(ip, Msg::Claim { ask })));
-            if shared.members.len() == 1 && self.take(now, now) {
-                tracing::info!(sure = self.is_sure(), "holds the counter");
-                shared.journal.append(now, Fact::Holds(true));
+            if shared.members.len() == 1 {
+                self.take(now, now, shared);
             }
         }
         if !self.holds(now) {
--- a/toolroom/src/courier.rs
+++ b/toolroom/src/courier.rs
@@ -2,7 +2,7 @@
 //! a request a second time, take for an answer what is not the whole answer to that request, or use a connection on
 //! which anything is unread.
 
-use crate::http;
+use crate::http::{self, quiet};
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message, MessageType};
@@ -14,7 +14,6 @@
 use bytes::{Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -82,6 +81,7 @@
 
 struct Idle {
     stream: TcpStream,
+    open: Open,
     since: Instant,
     /// What the worker said of how long it keeps it.
     keeps: Option<Duration>,
@@ -107,11 +107,6 @@
     }
 }
 
-fn quiet(stream: &TcpStream) -> bool {
-    let seen = socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
-    seen.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
-}
-
 enum Broken {
     /// The connection ended, or broke.
     Ended,
@@ -161,28 +156,24 @@
                 idle.push(last);
                 break;
             }
-            self.open.set(self.open.get() - 1);
         }
         taken
     }
 
     fn give_back(&self, worker: &Arc<str>, stream: TcpStream, keeps: Option<Duration>, open: Open) {
         if quiet(&stream) {
-            std::mem::forget(open);
-            let idle = Idle { stream, since: Instant::now(), keeps };
+            let idle = Idle { stream, open, since: Instant::now(), keeps };
             self.idle.borrow_mut().entry(Arc::clone(worker)).or_default().push(idle);
         }
     }
 
     /// Closes the idle connections to a worker.
     pub fn close(&self, worker: &str) {
-        let closed = self.idle.borrow_mut().remove(worker).map_or(0, |i| i.len());
-        self.open.set(self.open.get() - closed);
+        self.idle.borrow_mut().remove(worker);
     }
 
     /// Looks at the idle connections: those that were closed go, and tell how long they were kept.
     pub fn look(&self) {
-        let mut closed = 0;
         self.idle.borrow_mut().retain(|_, idle| {
             idle.retain(|i| {
                 let age = i.since.elapsed();
@@ -191,13 +182,10 @@
                 if !keep && age > Duration::from_millis(500) && i.keeps.is_none() {
                     self.learned.set(Some(self.learned.get().map_or(age, |l| l.min(age))));
                 }
-                let keep = keep && known.is_none_or(|k| age < k.mul_f64(IDLE_ANY));
-                closed += usize::from(!keep);
-                keep
+                keep && known.is_none_or(|k| age < k.mul_f64(IDLE_ANY))
             });
             !idle.is_empty()
         });
-        self.open.set(self.open.get() - closed);
     }
 
     /// Sends a request once and waits for its whole answer. `may_begin` is asked as the first byte is to be written.
@@ -229,7 +217,7 @@
         may_begin: impl Fn() -> bool,
     ) -> Ended {
         let (mut stream, open) = match self.take(worker, forward.repeatable) {
-            Some(idle) => (idle.stream, Open(Rc::clone(&self.open))),
+            Some(idle) => (idle.stream, idle.open),
             None => {
                 if self.open.get() >= self.most {
                     self.make_room();
@@ -280,7 +268,6 @@
         let oldest = all.iter().filter_map(|(w, i)| Some((i.first()?.since, Arc::clone(w)))).min();
         if let Some(idle) = oldest.and_then(|(_, worker)| all.get_mut(&worker)) {
             idle.remove(0);
-            self.open.set(self.open.get() - 1);
         }
     }
 }
--- a/toolroom/src/edge/desk.rs
+++ b/toolroom/src/edge/desk.rs
@@ -169,27 +169,24 @@
                     let Some(r) = self.requests.get_mut(&id) else { continue };
                     let attempt = r.attempts;
                     r.attempts += 1;
+                    r.out.push((attempt, now));
+                    self.loads.begins(now, &host.0);
                     if r.sent >= r.most {
                         // Its route allows no more workers: as if it had never been sent.
-                        r.out.push((attempt, now));
-                        self.loads.begins(now, &host.0);
                         self.ended(now, &id, attempt, &host, Ending::Moot, None, out);
                         continue;
                     }
                     r.sent += 1;
-                    r.out.push((attempt, now));
                     let left = (r.deadline - now).max(0.0);
                     let within = timeout.map_or(left, |t| t.as_secs_f64().min(left));
                     if let Some(service) = self.services.get_mut(name) {
                         service.sent(now, attempt == 0, &self.budget);
                     }
                     let Some(worker) = self.registry.get(&host.0) else {
-                        self.loads.begins(now, &host.0);
                         self.ended(now, &id, attempt, &host, Ending::Moot, None, out);
                         continue;
                     };
                     let address = worker.address;
-                    self.loads.begins(now, &host.0);
                     out.push(Effect::Dispatch { id, attempt, worker: host, address, within });
                 }
                 Action::Cancel { id, attempt } => out.push(Effect::CallOff(id, attempt)),
--- a/toolroom/src/http.rs
+++ b/toolroom/src/http.rs
@@ -98,6 +98,13 @@
     ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build()
 }
 
+/// Is a connection open, with nothing on it to be read? The system itself is asked, as the runtime may not have heard
+/// yet of what has just come.
+pub fn quiet(stream: &TcpStream) -> bool {
+    let seen = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
+    seen.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 /// A connection that somebody opened.
 pub struct Connection {
     stream: TcpStream,
@@ -122,9 +129,7 @@
 
     /// Has anything been read, or is there anything to be read, that is not answered yet?
     pub fn is_quiet(&self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
-        self.read.is_empty() && peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+        self.read.is_empty() && quiet(&self.stream)
     }
 
     async fn more(&mut self) -> Result<(), HttpError> {
--- a/toolroom/src/jig.rs
+++ b/toolroom/src/jig.rs
@@ -5,9 +5,8 @@
 use crate::edge::desk::{Answer, Arrival};
 use crate::edge::{Edge, Effect, Event};
 use crate::http::{self, Bounds, Connection, HttpError, Room, Whole};
-use crate::link::{self, Happens};
+use crate::link::{self, Happens, Links};
 use crate::settings::Settings;
-use crate::wire::Msg;
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
@@ -18,7 +17,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::{oneshot, watch, Notify};
 use whinstall::{Ending, HostId, RequestId};
 
@@ -69,7 +67,7 @@
 struct Jig {
     edge: RefCell<Edge>,
     clock: crate::Clock,
-    links: RefCell<HashMap<IpAddr, UnboundedSender<Msg>>>,
+    links: Links,
     pending: RefCell<HashMap<RequestId, Pending>>,
     courier: Courier,
     port: u16,
@@ -108,11 +106,7 @@
     fn carry_out(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Connect(ip) => self.connect(ip),
-            Effect::Send(ip, msg) => {
-                if let Some(queue) = self.links.borrow().get(&ip) {
-                    let _ = queue.send(msg);
-                }
-            }
+            Effect::Send(ip, msg) => self.links.say(ip, msg),
             Effect::Dispatch { id, attempt, worker, address, within } => {
                 self.dispatch(id, attempt, worker, address, Duration::from_secs_f64(within.max(0.0)));
             }
@@ -144,20 +138,14 @@
     }
 
     fn connect(self: &Rc<Self>, ip: IpAddr) {
-        if self.links.borrow().contains_key(&ip) {
-            return;
-        }
-        let (queue, outgoing) = unbounded_channel();
-        self.links.borrow_mut().insert(ip, queue);
         let this = Rc::clone(self);
-        let address = SocketAddr::new(ip, self.port);
-        tokio::task::spawn_local(link::keep(address, outgoing, move |happens| {
+        self.links.open(ip, move |happens| {
             this.handle(match happens {
                 Happens::Up => Event::LinkUp(ip),
                 Happens::Said(msg) => Event::Core(ip, msg),
                 Happens::Down => Event::LinkDown(ip),
             });
-        }));
+        });
     }
 
     fn dispatch(
@@ -391,10 +379,7 @@
         body_within: Duration::from_secs(2),
     };
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let stream = link::accepted(&listener).await;
         let (jig, mut connection) = (Rc::clone(&jig), Connection::new(stream, &config));
         tokio::task::spawn_local(async move {
             let idle = Duration::from_secs(10);
@@ -422,14 +407,7 @@
 async fn front(jig: Rc<Jig>, listener: TcpListener) {
     let config = http::config();
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(%error, "accept failed");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
+        let stream = link::accepted(&listener).await;
         if jig.open.get() >= jig.descriptors / 2 {
             // Closed unread: its client may come again elsewhere.
             continue;
@@ -459,7 +437,7 @@
     let jig = Rc::new(Jig {
         edge: RefCell::new(Edge::new(settings, life)),
         clock,
-        links: RefCell::default(),
+        links: Links::new(port),
         pending: RefCell::default(),
         courier: Courier::new(descriptors / 2),
         port,
--- a/toolroom/src/link.rs
+++ b/toolroom/src/link.rs
@@ -3,12 +3,14 @@
 
 use crate::wire::{self, Msg};
 use bytes::BytesMut;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::timeout;
 
 /// A connection comes up within this, at first: a machine without power says nothing, and may have it again soon...
@@ -78,11 +80,7 @@
 }
 
 /// Keeps a connection open for ever.
-pub async fn keep(
-    address: SocketAddr,
-    mut outgoing: UnboundedReceiver<Msg>,
-    mut happens: impl FnMut(Happens),
-) {
+async fn keep(address: SocketAddr, mut outgoing: UnboundedReceiver<Msg>, mut happens: impl FnMut(Happens)) {
     let mut dial = DIAL_FIRST;
     loop {
         let dialled = timeout(dial, TcpStream::connect(address)).await;
@@ -99,6 +97,49 @@
     }
 }
 
+/// The next connection that somebody opens; where none can be taken now, it is tried again.
+pub async fn accepted(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                tracing::warn!(%error, "accept failed");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// The connections that this process keeps open to core machines.
+pub struct Links {
+    queues: RefCell<HashMap<IpAddr, UnboundedSender<Msg>>>,
+    port: u16,
+}
+
+impl Links {
+    /// None yet; core machines hear on this port.
+    pub fn new(port: u16) -> Self {
+        Links { queues: RefCell::default(), port }
+    }
+
+    /// Keeps a connection to this machine open from now on.
+    pub fn open(&self, ip: IpAddr, happens: impl FnMut(Happens) + 'static) {
+        if self.queues.borrow().contains_key(&ip) {
+            return;
+        }
+        let (queue, outgoing) = unbounded_channel();
+        self.queues.borrow_mut().insert(ip, queue);
+        tokio::task::spawn_local(keep(SocketAddr::new(ip, self.port), outgoing, happens));
+    }
+
+    /// Says something to it.
+    pub fn say(&self, ip: IpAddr, msg: Msg) {
+        if let Some(queue) = self.queues.borrow().get(&ip) {
+            let _ = queue.send(msg);
+        }
+    }
+}
+
 /// Takes connections for ever. `opened` makes the queue of what is to be said on one.
 pub async fn listen(
     listener: TcpListener,
@@ -107,14 +148,7 @@
 ) {
     let mut number = 0;
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(%error, "accept failed");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
+        let stream = accepted(&listener).await;
         number += 1;
         let (mut outgoing, happens) = (opened(number), happens.clone());
         tokio::task::spawn_local(async move {
