Sight: the end of a drain tells which requests had no answer, and since when

Cause: the log line told open connections only, which can't tell requests that were taken too late from held ones. Change: edge/drain.rs counts them; no decision is changed.

--- a/toolroom/src/edge/desk.rs
+++ b/toolroom/src/edge/desk.rs
@@ -23,9 +23,11 @@
     pub(super) service: Arc<str>,
     sort: Sort,
     tenant: Option<Arc<str>>,
+    /// When it was read.
+    pub(super) arrived: f64,
     /// Shortly before its client leaves or its route's time is up.
     deadline: f64,
-    progress: Progress,
+    pub(super) progress: Progress,
     /// Waits for the counter until then, or until the sync of this number is answered.
     waits: Option<(f64, u64)>,
 }
@@ -56,6 +58,7 @@
             service,
             sort: Sort { repeatable: route.repeatable, target: route.target, rank },
             tenant: tenant.as_ref().map(|t| Arc::clone(&t.label)),
+            arrived: now,
             deadline: now + left,
             progress: Progress::new(route.repeatable, route.max_attempts),
             waits: None,
--- a/toolroom/src/edge/mod.rs
+++ b/toolroom/src/edge/mod.rs
@@ -3,6 +3,7 @@
 //! never go back behind a version that it has served by, and never send a worker what it may have run.
 
 pub mod desk;
+pub mod drain;
 pub mod load;
 pub mod request;
 pub mod service;
--- a/toolroom/src/edge/request.rs
+++ b/toolroom/src/edge/request.rs
@@ -100,6 +100,11 @@
         self.answered
     }
 
+    /// Is an attempt at a worker?
+    pub fn is_at_worker(&self) -> bool {
+        !self.out.is_empty()
+    }
+
     /// May it be sent once more by its own rules?
     pub fn may_go_again(&self) -> bool {
         self.sent < self.most && self.may_go()
--- a/toolroom/src/jig.rs
+++ b/toolroom/src/jig.rs
@@ -452,7 +452,7 @@
     while let crate::Signal::Reread(settings) = signals.next().await {
         jig.with(|edge, _, out| edge.retune(*settings, out));
     }
-    let asked = Instant::now();
+    let (asked, asked_at) = (Instant::now(), jig.edge.clock.now());
     tracing::info!(open = jig.open.get(), "edge role drains");
     jig.edge.state.borrow_mut().end();
     let last = asked + grace.saturating_sub(GRACE_LEFT);
@@ -465,6 +465,14 @@
             break;
         }
     }
-    tracing::info!(open = jig.open.get(), opened = jig.courier.opened.get(), "edge role ends");
+    let owed = jig.edge.state.borrow().unanswered();
+    tracing::info!(
+        open = jig.open.get(),
+        opened = jig.courier.opened.get(),
+        waiting = owed.waiting,
+        at_workers = owed.at_workers,
+        newest_read_s = owed.newest.map_or(0.0, |at| at - asked_at),
+        "edge role ends"
+    );
     Ok(())
 }
