--- a/toolroom/tests/common/mod.rs
+++ b/toolroom/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each program of tests uses some of it.
 #![allow(dead_code)]
 
+pub mod whole;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Child;
