A draining gatekeeper takes only what it can end, and answers everything before its end

Cause: a drain gave each request its client's whole time; those still at workers when the process ended were cut. Change: edge/drain.rs decides by the time that is left, bounds workers' time and answers what is left; signals are handled before sockets listen; the machine of one request knows the end (one step and one fault more in its search).

--- a/toolroom/src/edge/desk.rs
+++ b/toolroom/src/edge/desk.rs
@@ -5,7 +5,7 @@
 pub use super::request::Answer;
 use super::request::{Progress, Sending};
 use super::service::Sort;
-use super::{Edge, Effect};
+use super::{drain, Edge, Effect};
 use crate::config::view::Route;
 use crate::counter::Limit;
 use crate::quota::{Asked, Verdict};
@@ -52,6 +52,11 @@
             return out.push(Effect::Answer(id, Answer::Refused(0.1)));
         };
         let left = route.cutoff.map_or(left, |c| left.min(c.as_secs_f64())) - MARGIN;
+        let target = route.target.as_secs_f64();
+        if self.drain.is_some_and(|drain| !drain.takes(now, target, left)) {
+            return out.push(Effect::Answer(id, Answer::Refused(drain::RETRY_AFTER)));
+        }
+        let left = self.time_for(now, left);
         let rank = tenant.as_ref().and_then(|t| t.rank).unwrap_or(route.rank);
         self.service(&service);
         let request = Request {
@@ -194,7 +199,7 @@
         self.settle(id, answer, out);
     }
 
-    fn settle(&mut self, id: &RequestId, answer: Option<Answer>, out: &mut Vec<Effect>) {
+    pub(super) fn settle(&mut self, id: &RequestId, answer: Option<Answer>, out: &mut Vec<Effect>) {
         let Some(r) = self.requests.get_mut(id) else { return };
         out.extend(answer.map(|answer| Effect::Answer(id.clone(), answer)));
         let due = r.progress.settle();
--- a/toolroom/src/edge/mod.rs
+++ b/toolroom/src/edge/mod.rs
@@ -17,6 +17,7 @@
 use crate::settings::Settings;
 use crate::wire::{Load, Member, Msg};
 use desk::{Answer, Request};
+use drain::Drain;
 use load::Loads;
 use service::Service;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -124,7 +125,8 @@
     pinged: f64,
     gates: u32,
     rng: fastrand::Rng,
-    ending: bool,
+    /// Since the process was asked to end.
+    drain: Option<Drain>,
 }
 
 fn quota_terms(settings: &Settings) -> quota::Terms {
@@ -172,7 +174,7 @@
             pinged: f64::NEG_INFINITY,
             gates: 0,
             rng: fastrand::Rng::with_seed(life ^ ground::hash(&settings.node)),
-            ending: false,
+            drain: None,
             settings,
             life,
         }
@@ -195,7 +197,7 @@
     /// Can clients be served? Once the configuration and its workers are known and the counter was met.
     pub fn is_ready(&self, now: f64) -> bool {
         let limited = self.view.tenants().values().any(|t| t.rate > 0.0);
-        !self.ending && self.can_serve() && !(limited && self.quota.is_lapsed(now))
+        self.drain.is_none() && self.can_serve() && !(limited && self.quota.is_lapsed(now))
     }
 
     /// The same without regard to an end.
@@ -214,11 +216,6 @@
         !self.items.is_empty()
     }
 
-    /// This process is asked to end: it is not ready any more.
-    pub fn end(&mut self) {
-        self.ending = true;
-    }
-
     /// Other gatekeepers that are known.
     #[cfg(test)]
     pub fn others(&self) -> usize {
--- a/toolroom/src/edge/request.rs
+++ b/toolroom/src/edge/request.rs
@@ -172,6 +172,14 @@
         self.answer(answer)
     }
 
+    /// The process ends: the final answer now, whatever is out.
+    pub fn abandon(&mut self, after: f64) -> Option<Answer> {
+        if self.out.is_empty() {
+            return self.give_up(after);
+        }
+        self.answer(Answer::TimedOut)
+    }
+
     /// All that was decided is carried out: what is neither out nor held, and owed an answer, is given up.
     pub fn turn_over(&mut self, after: f64) -> Option<Answer> {
         let stuck = !self.held && !self.answered && self.out.is_empty();
--- a/toolroom/src/jig.rs
+++ b/toolroom/src/jig.rs
@@ -1,6 +1,8 @@
 //! The driver of the edge role: sockets and clock around the state machine in `edge`. It must never decide on a
 //! request; what it turns back by itself is only what no configuration allows.
 
+mod drain;
+
 use crate::courier::{Courier, Forward, Reply, LOOK};
 use crate::edge::desk::{Answer, Arrival};
 use crate::edge::{Edge, Effect, Event};
@@ -29,10 +31,6 @@
 const NOT_YET: f64 = 0.25;
 /// Where a request does not say how long its client waits.
 const LEFT_MOST: Duration = Duration::from_secs(30);
-/// The platform needs so long to notice that this gatekeeper is not ready any more: two of its questions, and some.
-const NOTICE: Duration = Duration::from_millis(2600);
-/// So much of the grace period is left when this process ends by itself.
-const GRACE_LEFT: Duration = Duration::from_millis(500);
 
 /// Headers that concern one connection, or are set anew.
 const OWN: [&str; 14] = [
@@ -277,6 +275,8 @@
                 headers.remove(name);
             }
         }
+        let time = route.cutoff.map_or(left, |c| left.min(c)).as_secs_f64();
+        let time = self.edge.state.borrow().work_time_for(self.edge.clock.now(), time).max(0.0);
         let forward = Rc::new(Forward {
             method: head.method().clone(),
             uri: head.uri().clone(),
@@ -284,7 +284,7 @@
             body,
             id: attempt_id,
             repeatable: route.repeatable,
-            deadline: Instant::now() + route.cutoff.map_or(left, |c| left.min(c)),
+            deadline: Instant::now() + Duration::from_secs_f64(time),
         });
         let id = RequestId(self.next.get().to_string().into());
         self.next.set(self.next.get() + 1);
@@ -395,12 +395,14 @@
 
 /// Runs the edge role until it is asked to end.
 pub async fn run(settings: Settings) -> Result<(), crate::RunError> {
+    // Before anybody can connect: an unhandled signal would end the process with all of its connections.
+    let mut signals = crate::Signals::new().map_err(crate::RunError::Signals)?;
     let front_at = settings.front.ok_or(crate::RunError::NotTold("network.endpoints.front_http"))?;
     let ready_at = settings.ready.ok_or(crate::RunError::NotTold("network.endpoints.ready_port"))?;
     let since = std::time::SystemTime::UNIX_EPOCH;
     let life = since.elapsed().map_or(0, |d| d.as_nanos() as u64) ^ fastrand::u64(..);
     tracing::info!(node = settings.node, life, "edge role starts");
-    let (port, grace) = (settings.inner_port, settings.envelope.grace);
+    let port = settings.inner_port;
     let descriptors = settings.descriptors.saturating_sub(300).max(64);
     let room = Room::new(settings.memory as usize / BODIES_PART);
     let hints = UdpSocket::bind((settings.ip, port)).await.map_err(crate::RunError::Listen)?;
@@ -448,31 +450,9 @@
             ticking.edge.due().await;
         }
     });
-    let mut signals = crate::Signals::new().map_err(crate::RunError::Signals)?;
     while let crate::Signal::Reread(settings) = signals.next().await {
         jig.with(|edge, _, out| edge.retune(*settings, out));
     }
-    let (asked, asked_at) = (Instant::now(), jig.edge.clock.now());
-    tracing::info!(open = jig.open.get(), "edge role drains");
-    jig.edge.state.borrow_mut().end();
-    let last = asked + grace.saturating_sub(GRACE_LEFT);
-    // Connections that rest are closed well before this process ends, or their clients lose what they send then.
-    let notice = NOTICE.min((last - asked) / 2);
-    jig.ending.send_replace(Some(asked + notice));
-    while Instant::now() < last {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        if asked.elapsed() > notice && jig.open.get() == 0 && jig.edge.state.borrow().open() == 0 {
-            break;
-        }
-    }
-    let owed = jig.edge.state.borrow().unanswered();
-    tracing::info!(
-        open = jig.open.get(),
-        opened = jig.courier.opened.get(),
-        waiting = owed.waiting,
-        at_workers = owed.at_workers,
-        newest_read_s = owed.newest.map_or(0.0, |at| at - asked_at),
-        "edge role ends"
-    );
+    drain::drain(&jig).await;
     Ok(())
 }
--- a/toolroom/tests/common/whole.rs
+++ b/toolroom/tests/common/whole.rs
@@ -1,6 +1,6 @@
 //! Both programs as they are, on loopback, with a worker that says what it is told to.
 
-use super::{hear, port, say, status, until, Role, BOUND};
+use super::{port, say, status, until, Role, BOUND};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
