A core machine that ends takes no more calls; signals are handled before the disk is opened

Cause: the class of the incident in the core role: calls were read until its end, and a SIGHUP before the handlers stood ended the process.

--- a/toolroom/src/anvil.rs
+++ b/toolroom/src/anvil.rs
@@ -124,6 +124,10 @@
         head: &Request,
         body: bytes::Bytes,
     ) -> (actix_http::ResponseBuilder, bytes::Bytes) {
+        if self.ending.get() {
+            // It may take longer than this process lives: its caller goes on to another machine.
+            return http::json(503, &fault("ending"));
+        }
         let command = match command(head, &body) {
             Ok(Some(command)) => command,
             Ok(None) => return http::plain(StatusCode::NOT_FOUND, "no such call"),
@@ -206,11 +210,22 @@
 }
 
 /// Runs the core role until it is asked to end.
-pub async fn run(settings: Settings) -> Result<(), crate::RunError> {
+pub async fn run(mut settings: Settings) -> Result<(), crate::RunError> {
+    // Before anything else: an unhandled signal would end the process with all that it has begun.
+    let mut signals = crate::Signals::new().map_err(crate::RunError::Signals)?;
     let clock = crate::Clock::new();
     let control = settings.control.ok_or(crate::RunError::NotTold("network.endpoints.control_port"))?;
     let data = settings.data.clone().ok_or(crate::RunError::NotTold("self.data_path"))?;
-    let (store, held) = open(&data, settings.is_first_seed()).await.map_err(crate::RunError::Store)?;
+    let mut opening = std::pin::pin!(open(&data, settings.is_first_seed()));
+    let (store, held) = loop {
+        tokio::select! {
+            opened = &mut opening => break opened.map_err(crate::RunError::Store)?,
+            signal = signals.next() => match signal {
+                crate::Signal::Reread(reread) => settings = *reread,
+                crate::Signal::End => return Ok(()),
+            },
+        }
+    };
     tracing::info!(
         node = settings.node,
         disk = format!("{:x}", held.disk),
@@ -272,7 +287,6 @@
     });
     let mut ticks = tokio::time::interval(Duration::from_secs_f64(TICK));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut signals = crate::Signals::new().map_err(crate::RunError::Signals)?;
     loop {
         tokio::select! {
             _ = ticks.tick() => anvil.handle(Event::Tick),
@@ -290,7 +304,11 @@
             return Err(crate::RunError::State(error));
         }
     }
-    tracing::info!("core role ends");
+    tracing::info!(
+        calls = anvil.calls.borrow().len(),
+        leads = anvil.core.borrow().leads(),
+        "core role drains"
+    );
     anvil.ending.set(true);
     anvil.handle(Event::Ending);
     let _ = tokio::time::timeout(END_WITHIN, async {
@@ -304,5 +322,7 @@
         tokio::time::sleep(Duration::from_millis(30)).await;
     })
     .await;
+    let (calls, leads) = (anvil.calls.borrow().len(), anvil.core.borrow().leads());
+    tracing::info!(calls, leads, "core role ends");
     Ok(())
 }
--- a/toolroom/tests/common/mod.rs
+++ b/toolroom/tests/common/mod.rs
@@ -8,13 +8,26 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Child;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// Nothing here takes longer.
 pub const BOUND: Duration = Duration::from_secs(20);
 
+/// Ports for listeners: below those that the system gives to connections, so that a role which was killed finds its own
+/// free again. Other programs of tests start elsewhere in the range.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+
 pub fn port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address").port()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(97);
+    loop {
+        let nth = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS.len() as u32;
+        let port = u16::try_from(PORTS.start + nth).expect("a port");
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 pub struct Role {
