The departure of an unknown worker is acknowledged only by who knows every worker

Change: 503 until the machine has listened for four heartbeats in touch with most (or is alone). Result: a_departure_is_acknowledged_only_by_who_knows_every_worker failed before (200) and is green.

--- a/toolroom/src/core/calls_tests.rs
+++ b/toolroom/src/core/calls_tests.rs
@@ -1,36 +1,81 @@
-//! What callers hear of a machine that is out of touch.
+//! What callers hear of a machine that is out of touch, or has just started.
 
 use super::{Command, Core, Effect, Event};
 use crate::settings::Settings;
 use crate::store::Held;
 use googletest::prelude::*;
+use std::net::IpAddr;
+
+fn ip(n: u8) -> IpAddr {
+    IpAddr::from([10, 0, 1, n])
+}
+
+/// The first of these seeds, five seconds after the first start of all; its disk is quick, the others are not there.
+fn started(seeds: &[u8]) -> Core {
+    let mut settings = Settings::read(include_str!("../sim/settings.toml")).expect("settings");
+    (settings.ip, settings.cold_start) = (ip(1), true);
+    settings.seeds = seeds.iter().map(|n| (ip(*n), 80).into()).collect();
+    let mut core = Core::new(1000.0, settings, Held::default()).expect("a core");
+    let mut out = Vec::new();
+    core.start(&mut out);
+    pass(&mut core, 1000.0, 1005.0, out);
+    core
+}
+
+/// Lets time pass; what is to be persisted is at once.
+fn pass(core: &mut Core, from: f64, to: f64, mut out: Vec<Effect>) {
+    let mut now = from;
+    while now < to {
+        for effect in std::mem::take(&mut out) {
+            if let Effect::Persist(put) = effect {
+                core.handle(now, Event::Disk(put.number), &mut out);
+            }
+        }
+        core.handle(now, Event::Tick, &mut out);
+        now += super::TICK;
+    }
+}
+
+/// The answers to a call.
+fn replies(core: &mut Core, now: f64, command: Command) -> Vec<u16> {
+    let mut out = Vec::new();
+    core.handle(now, Event::Call(7, command), &mut out);
+    out.iter()
+        .filter_map(|e| if let Effect::Reply(7, status, _) = e { Some(*status) } else { None })
+        .collect()
+}
 
 /// Guards "a machine that is cut off refuses nothing": what it can't read may be read elsewhere.
 #[gtest]
 fn a_machine_out_of_touch_leaves_also_malformed_calls_open() {
-    for (seeds, status) in [(vec![1], 400), (vec![1, 2, 3], 503)] {
-        let mut settings = Settings::read(include_str!("../sim/settings.toml")).expect("settings");
-        let ip = |n: u8| std::net::IpAddr::from([10, 0, 1, n]);
-        (settings.ip, settings.cold_start) = (ip(1), true);
-        settings.seeds = seeds.into_iter().map(|n| (ip(n), 80).into()).collect();
-        let mut core = Core::new(1000.0, settings, Held::default()).expect("a core");
-        let mut out = Vec::new();
-        core.start(&mut out);
-        for n in 0..100 {
-            let persisted: Vec<Effect> = std::mem::take(&mut out);
-            for effect in persisted {
-                if let Effect::Persist(put) = effect {
-                    core.handle(1000.0, Event::Disk(put.number), &mut out);
-                }
-            }
-            core.handle(1000.0 + f64::from(n) * super::TICK, Event::Tick, &mut out);
-        }
-        out.clear();
-        core.handle(1006.0, Event::Call(7, Command::Malformed("no address".into())), &mut out);
-        let replies: Vec<u16> = out
-            .iter()
-            .filter_map(|e| if let Effect::Reply(7, status, _) = e { Some(*status) } else { None })
-            .collect();
+    for (seeds, status) in [(&[1][..], 400), (&[1, 2, 3][..], 503)] {
+        let mut core = started(seeds);
+        let replies = replies(&mut core, 1006.0, Command::Malformed("no address".into()));
         expect_that!(replies, elements_are![eq(&status)]);
     }
 }
+
+/// Guards "an acknowledged departure binds": a machine that has just started may not have heard yet of a worker that the
+/// others know.
+#[gtest]
+fn a_departure_is_acknowledged_only_by_who_knows_every_worker() {
+    let departure = || Command::Departure("i-unknown".into());
+    let mut alone = started(&[1]);
+    expect_that!(replies(&mut alone, 1006.0, departure()), elements_are![eq(&200)]);
+    // Two of three are in touch from now on.
+    let mut core = started(&[1, 2, 3]);
+    let touch = |core: &mut Core, from: f64, to: f64| {
+        let mut now = from;
+        while now < to {
+            let ping = crate::wire::Msg::Ping { config: 0, workers: 0, heard: 0 };
+            let mut out = Vec::new();
+            core.handle(now, Event::Peer(ip(2), ping), &mut out);
+            pass(core, now, now + 0.3, out);
+            now += 0.3;
+        }
+    };
+    touch(&mut core, 1005.0, 1006.0);
+    expect_that!(replies(&mut core, 1006.0, departure()), elements_are![eq(&503)]);
+    touch(&mut core, 1006.0, 1013.0);
+    expect_that!(replies(&mut core, 1013.0, departure()), elements_are![eq(&200)]);
+}
--- a/toolroom/src/core/mod.rs
+++ b/toolroom/src/core/mod.rs
@@ -396,8 +396,7 @@
             }
             Command::Departure(id) => {
                 let Some(worker) = self.roster.departed(&id) else {
-                    // Unknown here: nothing is to be taken away.
-                    return out.push(Effect::Reply(call, 200, json!({})));
+                    return out.push(self.departure_of_unknown(now, call));
                 };
                 self.news(now, vec![worker.clone()], true, out);
                 return self.roster.hold(now, call, worker, &mut self.shared, out);
@@ -407,6 +406,15 @@
         self.log_out(now, out);
     }
 
+    /// The answer to the departure of a worker that is not on the list here.
+    fn departure_of_unknown(&self, now: f64, call: CallId) -> Effect {
+        if self.shared.voters.len() > 1 && !self.roster.settled(now) {
+            return Effect::Reply(call, 503, fault("not every worker is known here yet"));
+        }
+        // Nobody knows it: nothing is to be taken away.
+        Effect::Reply(call, 200, json!({}))
+    }
+
     fn tick(&mut self, now: f64, out: &mut Vec<Effect>) {
         if now - self.ticked > AWAY {
             // This process was away: others' silence tells nothing.
