Name the roles edge and core; edge_server.rs and core_server.rs drive them

Need: jig and anvil are names of the earlier house style that a newcomer has to look up. Change: files, types, commands, tests and pages; the old names still start the roles.

--- a/toolroom/src/capacity/bench.rs
+++ b/toolroom/src/capacity/bench.rs
@@ -287,8 +287,8 @@
     let (front, ready_at) = (at(port()?), at(port()?));
     let ends = format!("front_http = \"{front}\"\nready_port = \"{ready_at}\"\n");
     let settings = core.write("edge", &core.settings(2, 0, &ends))?;
-    let jig =
-        Process::start("edge", &["capacity", "role", "jig"], Some(&settings), &folder.join("edge.log"))?;
+    let edge =
+        Process::start("edge", &["capacity", "role", "edge"], Some(&settings), &folder.join("edge.log"))?;
     let until = Instant::now() + Duration::from_secs(40);
     while !ready(ready_at) {
         if Instant::now() > until {
@@ -296,9 +296,9 @@
         }
         std::thread::sleep(Duration::from_millis(50));
     }
-    let (begun, before) = (Instant::now(), jig.usage());
+    let (begun, before) = (Instant::now(), edge.usage());
     std::thread::sleep(Duration::from_secs_f64(seconds));
-    let idle_cpu = (jig.usage().cpu_s - before.cpu_s) / begun.elapsed().as_secs_f64();
+    let idle_cpu = (edge.usage().cpu_s - before.cpu_s) / begun.elapsed().as_secs_f64();
     let mut found = Vec::new();
     for rate in rates {
         let job = |to: Vec<SocketAddr>| Job {
@@ -314,10 +314,10 @@
         let (mut took, mut spent, mut waited, mut after) = (0.0, 0.0, 0.0, before);
         for _ in 0..plan.rounds {
             let bare = clients(folder, &job(bare.clone()))?;
-            let (begun, before) = (Instant::now(), jig.usage());
+            let (begun, before) = (Instant::now(), edge.usage());
             let through = clients(folder, &job(vec![front]))?;
             took += begun.elapsed().as_secs_f64();
-            after = jig.usage();
+            after = edge.usage();
             spent += after.cpu_s - before.cpu_s;
             waited += after.waited_s - before.waited_s;
             rounds.push(Round { bare, through });
--- a/toolroom/src/capacity/cluster.rs
+++ b/toolroom/src/capacity/cluster.rs
@@ -148,7 +148,7 @@
 pub struct Core {
     folder: PathBuf,
     /// Its machines.
-    pub anvils: Vec<Process>,
+    pub processes: Vec<Process>,
     /// Where workers and operators call.
     pub controls: Vec<SocketAddr>,
     /// The port for own messages.
@@ -182,8 +182,8 @@
 
     /// An error if a machine takes too much memory.
     fn bear(&self) -> Result<(), CapacityError> {
-        match self.anvils.iter().find(|a| a.memory() > MEMORY_MOST) {
-            Some(anvil) => Err(CapacityError::Memory(anvil.name.clone(), MEMORY_MOST)),
+        match self.processes.iter().find(|a| a.memory() > MEMORY_MOST) {
+            Some(process) => Err(CapacityError::Memory(process.name.clone(), MEMORY_MOST)),
             None => Ok(()),
         }
     }
@@ -192,16 +192,16 @@
     pub fn start(folder: &Path, count: usize, zones: usize, beat_ms: u64) -> Result<Self, CapacityError> {
         let (inner, control) = (port()?, port()?);
         let controls = (0..count).map(|i| SocketAddr::new(address(1, i), control)).collect();
-        let mut core = Core { folder: folder.into(), anvils: Vec::new(), controls, inner, zones, beat_ms };
+        let mut core = Core { folder: folder.into(), processes: Vec::new(), controls, inner, zones, beat_ms };
         for number in 0..count {
             let data = core.data(number);
             std::fs::create_dir_all(&data).map_err(|e| CapacityError::File(data.display().to_string(), e))?;
             let more = format!("control_port = \"{}\"\n", core.controls[number]);
             let path = core.write(&format!("core-{number}"), &core.settings(1, number, &more))?;
             let log = core.folder.join(format!("core-{number}.log"));
-            core.anvils.push(Process::start(
+            core.processes.push(Process::start(
                 &format!("core-{number}"),
-                &["capacity", "role", "anvil"],
+                &["capacity", "role", "core"],
                 Some(&path),
                 &log,
             )?);
@@ -215,7 +215,7 @@
         let text = self.settings(1, number, &more).replace("cold_start = true", "cold_start = false");
         let name = format!("core-{number}");
         let (path, log) = (self.write(&name, &text)?, self.folder.join(format!("{name}-again.log")));
-        self.anvils[number] = Process::start(&name, &["capacity", "role", "anvil"], Some(&path), &log)?;
+        self.processes[number] = Process::start(&name, &["capacity", "role", "core"], Some(&path), &log)?;
         Ok(())
     }
 
@@ -393,12 +393,13 @@
     let ready_s = begun.elapsed().as_secs_f64();
     gates.iter_mut().try_for_each(|g| g.order("ask"))?;
     std::thread::sleep(Duration::from_secs_f64(cell.warm_s));
-    let pids: Vec<u32> = core.anvils.iter().map(Process::pid).collect();
+    let pids: Vec<u32> = core.processes.iter().map(Process::pid).collect();
     let (links, links_at) = (children::sent_to_port(core.inner, &pids), Instant::now());
     gates.iter_mut().chain(&mut hands).try_for_each(|p| p.order("begin"))?;
-    let (at, before, watch) = (Instant::now(), usages(&core.anvils, &gates), Watch::begin());
+    let (at, before, watch) = (Instant::now(), usages(&core.processes, &gates), Watch::begin());
     let sent = changing(cell, &mut operator, &mut faults);
-    let (seconds, after, machine) = (at.elapsed().as_secs_f64(), usages(&core.anvils, &gates), watch.end());
+    let (seconds, after, machine) =
+        (at.elapsed().as_secs_f64(), usages(&core.processes, &gates), watch.end());
     if !sent.is_empty() {
         // The last one may be on its way still.
         std::thread::sleep(Duration::from_secs(2));
@@ -413,7 +414,7 @@
     let mut syncs: BTreeMap<&str, u64> = BTreeMap::new();
     told.iter().flat_map(|t| &t.syncs).for_each(|(ip, n)| *syncs.entry(ip).or_default() += n);
     let holder = syncs.iter().max_by_key(|(_, n)| **n).map(|(ip, _)| (*ip).to_owned());
-    let uses = core.anvils.iter().enumerate().map(|(i, _)| {
+    let uses = core.processes.iter().enumerate().map(|(i, _)| {
         let (was, is) = (before[i], after[i]);
         let peers = |links: &Option<Vec<(u32, u64)>>| links.as_ref().map(|l| l[i].1 as f64);
         CoreUse {
@@ -429,7 +430,7 @@
         }
     });
     let mut uses: Vec<CoreUse> = uses.collect();
-    let n = core.anvils.len();
+    let n = core.processes.len();
     let spent = |i: usize| (after[n + i].cpu_s - before[n + i].cpu_s) / seconds;
     let hollow_cpu = (0..told.len()).map(spent).sum();
     let folders: Vec<PathBuf> = (0..n).map(|i| core.data(i)).collect();
@@ -469,8 +470,8 @@
     })
 }
 
-fn usages(anvils: &[Process], gates: &[Process]) -> Vec<Usage> {
-    anvils.iter().chain(gates).map(Process::usage).collect()
+fn usages(processes: &[Process], gates: &[Process]) -> Vec<Usage> {
+    processes.iter().chain(gates).map(Process::usage).collect()
 }
 
 fn workers_use(all: Vec<workers::Report>) -> workers::Report {
--- a/toolroom/src/capacity/losses.rs
+++ b/toolroom/src/capacity/losses.rs
@@ -143,34 +143,34 @@
 
     let holder = run.holder()?;
     let killed = run.lose(|core| {
-        core.anvils[holder].kill();
+        core.processes[holder].kill();
         Ok(())
     })?;
     let back_s = run.back(holder)?;
     let disk = children::folder_bytes(&run.core.data(holder));
 
     let holder = run.holder()?;
-    let handed_over = run.lose(|core| core.anvils[holder].ask_to_end())?;
+    let handed_over = run.lose(|core| core.processes[holder].ask_to_end())?;
     let asked = Instant::now();
-    while !run.core.anvils[holder].has_ended() && asked.elapsed() < GRACE {
+    while !run.core.processes[holder].has_ended() && asked.elapsed() < GRACE {
         std::thread::sleep(Duration::from_millis(20));
     }
-    run.core.anvils[holder].kill();
+    run.core.processes[holder].kill();
     run.back(holder)?;
 
     let mut two_killed = None;
     if cell.core >= 5 {
-        let (holder, machines) = (run.holder()?, run.core.anvils.len());
+        let (holder, machines) = (run.holder()?, run.core.processes.len());
         let both = [holder, (holder + 1) % machines];
         two_killed = Some(run.lose(|core| {
-            both.iter().for_each(|n| core.anvils[*n].kill());
+            both.iter().for_each(|n| core.processes[*n].kill());
             Ok(())
         })?);
         both.iter().try_for_each(|n| run.back(*n).map(drop))?;
     }
 
-    let other = (holder + 1) % run.core.anvils.len();
-    run.core.anvils[other].kill();
+    let other = (holder + 1) % run.core.processes.len();
+    run.core.processes[other].kill();
     let data = run.core.data(other);
     let emptied = std::fs::remove_dir_all(&data).and_then(|()| std::fs::create_dir_all(&data));
     emptied.map_err(|e| CapacityError::File(data.display().to_string(), e))?;
--- a/toolroom/src/capacity/mod.rs
+++ b/toolroom/src/capacity/mod.rs
@@ -52,7 +52,7 @@
     Some(match words[..] {
         ["role", role] => {
             children::end_with_input();
-            crate::run(role)
+            crate::run_named(role).unwrap_or(ExitCode::FAILURE)
         }
         ["hollow", job] => child(job, hollow::run),
         ["workers", job] => child(job, workers::run),
--- a/toolroom/src/anvil.rs
+++ b/toolroom/src/core_server.rs
@@ -41,7 +41,7 @@
 
 type Queue = UnboundedSender<Msg>;
 
-struct Anvil {
+struct CoreServer {
     core: RefCell<Core>,
     clock: crate::Clock,
     links: Links,
@@ -54,7 +54,7 @@
     ending: Cell<bool>,
 }
 
-impl Anvil {
+impl CoreServer {
     fn handle(self: &Rc<Self>, event: Event) {
         let mut out = Vec::new();
         self.core.borrow_mut().handle(self.clock.now(), event, &mut out);
@@ -240,7 +240,7 @@
     let (port, ip) = (settings.inner_port, settings.ip);
     let room = Room::new(settings.memory as usize / BODIES_PART);
     let core = Core::new(clock.now(), settings, held).map_err(crate::RunError::State)?;
-    let anvil = Rc::new(Anvil {
+    let server = Rc::new(CoreServer {
         core: RefCell::new(core),
         clock,
         links: Links::new(port),
@@ -252,15 +252,15 @@
         ending: Cell::new(false),
     });
     let (synced, mut syncs) = unbounded_channel();
-    *anvil.disk.borrow_mut() = Some(store.serve(move |number| {
+    *server.disk.borrow_mut() = Some(store.serve(move |number| {
         let _ = synced.send(number);
     }));
     let inner = TcpListener::bind((ip, port)).await.map_err(crate::RunError::Listen)?;
     let control = TcpListener::bind(control).await.map_err(crate::RunError::Listen)?;
     let mut out = Vec::new();
-    anvil.core.borrow_mut().start(&mut out);
-    anvil.carry_out(out);
-    let (opening, closing) = (Rc::clone(&anvil), Rc::clone(&anvil));
+    server.core.borrow_mut().start(&mut out);
+    server.carry_out(out);
+    let (opening, closing) = (Rc::clone(&server), Rc::clone(&server));
     tokio::task::spawn_local(link::listen(
         inner,
         move |conn| {
@@ -277,7 +277,7 @@
             Happens::Up => {}
         },
     ));
-    let serving = Rc::clone(&anvil);
+    let serving = Rc::clone(&server);
     tokio::task::spawn_local(async move {
         let config = http::config();
         loop {
@@ -289,40 +289,40 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = ticks.tick() => anvil.handle(Event::Tick),
-            Some(number) = syncs.recv() => anvil.handle(Event::Disk(number)),
+            _ = ticks.tick() => server.handle(Event::Tick),
+            Some(number) = syncs.recv() => server.handle(Event::Disk(number)),
             signal = signals.next() => match signal {
                 crate::Signal::Reread(settings) => {
                     let mut out = Vec::new();
-                    anvil.core.borrow_mut().retune(*settings, &mut out);
-                    anvil.carry_out(out);
+                    server.core.borrow_mut().retune(*settings, &mut out);
+                    server.carry_out(out);
                 }
                 crate::Signal::End => break,
             },
         }
-        if let Some(error) = anvil.core.borrow().broken.clone() {
+        if let Some(error) = server.core.borrow().broken.clone() {
             return Err(crate::RunError::State(error));
         }
     }
     tracing::info!(
-        calls = anvil.calls.borrow().len(),
-        leads = anvil.core.borrow().leads(),
+        calls = server.calls.borrow().len(),
+        leads = server.core.borrow().leads(),
         "core role drains"
     );
-    anvil.ending.set(true);
-    anvil.handle(Event::Ending);
+    server.ending.set(true);
+    server.handle(Event::Ending);
     let _ = tokio::time::timeout(END_WITHIN, async {
-        while !anvil.calls.borrow().is_empty() || anvil.core.borrow().leads() {
+        while !server.calls.borrow().is_empty() || server.core.borrow().leads() {
             tokio::select! {
-                _ = ticks.tick() => anvil.handle(Event::Tick),
-                Some(number) = syncs.recv() => anvil.handle(Event::Disk(number)),
+                _ = ticks.tick() => server.handle(Event::Tick),
+                Some(number) = syncs.recv() => server.handle(Event::Disk(number)),
             }
         }
         // What was just said goes out.
         tokio::time::sleep(Duration::from_millis(30)).await;
     })
     .await;
-    let (calls, leads) = (anvil.calls.borrow().len(), anvil.core.borrow().leads());
+    let (calls, leads) = (server.calls.borrow().len(), server.core.borrow().leads());
     tracing::info!(calls, leads, "core role ends");
     Ok(())
 }
--- a/toolroom/src/jig.rs
+++ b/toolroom/src/edge_server.rs
@@ -63,7 +63,7 @@
     called_off: HashMap<u32, oneshot::Sender<()>>,
 }
 
-struct Jig {
+struct EdgeServer {
     edge: EventLoop,
     links: Links,
     pending: RefCell<HashMap<RequestId, Pending>>,
@@ -77,7 +77,7 @@
     room: Rc<Room>,
 }
 
-impl Jig {
+impl EdgeServer {
     fn handle(self: &Rc<Self>, event: Event) {
         self.with(|edge, now, out| edge.handle(now, event, out));
     }
@@ -341,7 +341,7 @@
 }
 
 /// Answers the platform's question whether this gatekeeper is ready.
-async fn readiness(jig: Rc<Jig>, listener: TcpListener) {
+async fn readiness(server: Rc<EdgeServer>, listener: TcpListener) {
     let config = http::config();
     let bounds = Bounds {
         head_bytes: 8192,
@@ -351,12 +351,12 @@
     };
     loop {
         let stream = link::accepted(&listener).await;
-        let (jig, mut connection) = (Rc::clone(&jig), Connection::new(stream, &config));
+        let (server, mut connection) = (Rc::clone(&server), Connection::new(stream, &config));
         tokio::task::spawn_local(async move {
             let idle = Duration::from_secs(10);
             while let Ok(Ok(())) = tokio::time::timeout(idle, connection.first()).await {
-                let Ok(_) = connection.request(&bounds, &jig.room).await else { return };
-                let ready = jig.edge.state.borrow().is_ready(jig.edge.clock.now());
+                let Ok(_) = connection.request(&bounds, &server.room).await else { return };
+                let ready = server.edge.state.borrow().is_ready(server.edge.clock.now());
                 let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
                 let (response, body) = http::plain(status, "");
                 if !matches!(connection.answer(response, body).await, Ok(true)) {
@@ -367,28 +367,28 @@
     }
 }
 
-struct Seat(Rc<Jig>);
+struct OpenConnection(Rc<EdgeServer>);
 
-impl Drop for Seat {
+impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
     }
 }
 
-async fn front(jig: Rc<Jig>, listener: TcpListener) {
+async fn front(server: Rc<EdgeServer>, listener: TcpListener) {
     let config = http::config();
     loop {
         let stream = link::accepted(&listener).await;
-        if jig.open.get() >= jig.descriptors / 2 {
+        if server.open.get() >= server.descriptors / 2 {
             // Closed unread: its client may come again elsewhere.
             continue;
         }
-        jig.open.set(jig.open.get() + 1);
-        let seat = Seat(Rc::clone(&jig));
+        server.open.set(server.open.get() + 1);
+        let open = OpenConnection(Rc::clone(&server));
         let connection = Connection::new(stream, &config);
         tokio::task::spawn_local(async move {
-            Rc::clone(&seat.0).converse(connection).await;
-            drop(seat);
+            Rc::clone(&open.0).converse(connection).await;
+            drop(open);
         });
     }
 }
@@ -406,7 +406,7 @@
     let descriptors = settings.descriptors.saturating_sub(300).max(64);
     let room = Room::new(settings.memory as usize / BODIES_PART);
     let hints = UdpSocket::bind((settings.ip, port)).await.map_err(crate::RunError::Listen)?;
-    let jig = Rc::new(Jig {
+    let server = Rc::new(EdgeServer {
         edge: EventLoop::new(Edge::new(settings, life), crate::Clock::new()),
         links: Links::new(port),
         pending: RefCell::default(),
@@ -421,10 +421,10 @@
     });
     let ready = TcpListener::bind(ready_at).await.map_err(crate::RunError::Listen)?;
     let clients = TcpListener::bind(front_at).await.map_err(crate::RunError::Listen)?;
-    jig.with(|edge, _, out| edge.start(out));
-    tokio::task::spawn_local(readiness(Rc::clone(&jig), ready));
-    tokio::task::spawn_local(front(Rc::clone(&jig), clients));
-    let hearing = Rc::clone(&jig);
+    server.with(|edge, _, out| edge.start(out));
+    tokio::task::spawn_local(readiness(Rc::clone(&server), ready));
+    tokio::task::spawn_local(front(Rc::clone(&server), clients));
+    let hearing = Rc::clone(&server);
     tokio::task::spawn_local(async move {
         let mut bytes = vec![0; 65536];
         loop {
@@ -438,7 +438,7 @@
             }
         }
     });
-    let ticking = Rc::clone(&jig);
+    let ticking = Rc::clone(&server);
     tokio::task::spawn_local(async move {
         let mut looked = Instant::now();
         loop {
@@ -451,8 +451,8 @@
         }
     });
     while let crate::Signal::Reread(settings) = signals.next().await {
-        jig.with(|edge, _, out| edge.retune(*settings, out));
+        server.with(|edge, _, out| edge.retune(*settings, out));
     }
-    drain::drain(&jig).await;
+    drain::drain(&server).await;
     Ok(())
 }
--- a/toolroom/src/jig/drain.rs
+++ b/toolroom/src/edge_server/drain.rs
@@ -1,7 +1,7 @@
 //! The driver of a gatekeeper's drain: waits as the state machine's [`Drain`](crate::edge::drain::Drain) says, and lets
 //! answers go out before the process ends.
 
-use super::Jig;
+use super::EdgeServer;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,32 +11,32 @@
 const FLUSH: Duration = Duration::from_millis(300);
 
 /// Serves on until nothing is open or the time is over; nobody waits for an answer when this returns.
-pub(super) async fn drain(jig: &Rc<Jig>) {
-    let begun = jig.edge.clock.now();
-    let drain = jig.edge.state.borrow_mut().end(begun);
+pub(super) async fn drain(server: &Rc<EdgeServer>) {
+    let begun = server.edge.clock.now();
+    let drain = server.edge.state.borrow_mut().end(begun);
     let after = |at: f64| Instant::now() + Duration::from_secs_f64((at - begun).max(0.0));
     let (closes_at, ends_at) = (after(drain.closes_at), after(drain.ends_at));
-    tracing::info!(open = jig.open.get(), "edge role drains");
+    tracing::info!(open = server.open.get(), "edge role drains");
     // Connections that rest are closed well before this process ends, or their clients lose what they send then.
-    jig.ending.send_replace(Some(closes_at));
+    server.ending.send_replace(Some(closes_at));
     tokio::time::sleep_until(closes_at.into()).await;
-    idle_by(jig, ends_at).await;
-    let owed = jig.edge.state.borrow().unanswered();
+    idle_by(server, ends_at).await;
+    let owed = server.edge.state.borrow().unanswered();
     tracing::info!(
-        open = jig.open.get(),
-        opened = jig.courier.opened.get(),
+        open = server.open.get(),
+        opened = server.courier.opened.get(),
         waiting = owed.waiting,
         at_workers = owed.at_workers,
         newest_read_s = owed.newest.map_or(0.0, |at| at - begun),
         "edge role ends"
     );
-    jig.with(|edge, _, out| edge.abandon(out));
-    idle_by(jig, Instant::now() + FLUSH).await;
+    server.with(|edge, _, out| edge.abandon(out));
+    idle_by(server, Instant::now() + FLUSH).await;
 }
 
 /// Waits until no client is connected and no attempt is out, but no longer than `latest`.
-async fn idle_by(jig: &Rc<Jig>, latest: Instant) {
-    while Instant::now() < latest && (jig.open.get() > 0 || jig.edge.state.borrow().open() > 0) {
+async fn idle_by(server: &Rc<EdgeServer>, latest: Instant) {
+    while Instant::now() < latest && (server.open.get() > 0 || server.edge.state.borrow().open() > 0) {
         tokio::time::sleep(LOOK).await;
     }
 }
--- a/toolroom/src/main.rs
+++ b/toolroom/src/main.rs
@@ -1,7 +1,6 @@
-//! The toolroom: whinstall as a whole gateway, in two roles. `jig` (edge) holds the work: it takes clients' requests
-//! and sends them on. `anvil` (core) keeps the configuration, the list of workers and the counter.
+//! whinstall as a whole gateway, in two roles. `edge` takes clients' requests and sends them on. `core` keeps the
+//! configuration, the list of workers and the counter.
 
-mod anvil;
 mod bootstrap_mark;
 #[cfg(test)]
 mod bootstrap_mark_tests;
@@ -10,6 +9,7 @@
 mod capacity;
 mod config;
 mod core;
+mod core_server;
 mod counter;
 #[cfg(test)]
 mod counter_sums_tests;
@@ -17,12 +17,12 @@
 mod counter_tests;
 mod courier;
 mod edge;
+mod edge_server;
 mod event_loop;
 mod export;
 #[cfg(test)]
 mod export_tests;
 mod http;
-mod jig;
 mod journal;
 #[cfg(test)]
 mod journal_tests;
@@ -85,8 +85,8 @@
 const USAGE: &str = "toolroom ROLE
 
 Roles:
-    jig      edge: serves clients by the configuration, and finds workers and configuration at the core
-    anvil    core: keeps the configuration on its disk, the list of workers and the counter of quotas
+    edge     serves clients by the configuration, and finds workers and configuration at the core
+    core     keeps the configuration on its disk, the list of workers and the counter of quotas
     check    reads a settings file or, with --config, the body of a configuration call, and tells what is wrong
     status   asks a core machine at its control address (--at) who is of the core, who leads, in which term, how far each
              is, and who is out and why; prints it as JSON
@@ -136,14 +136,18 @@
         "check" => check(told.opt_str("settings"), told.opt_str("config")),
         "status" => status(told.opt_str("at")),
         "export" => export(told.opt_str("data"), told.opt_str("out")),
-        "jig" | "anvil" => run(role),
-        other => {
-            eprintln!("toolroom: no role {other}\n\n{}", options.usage(USAGE));
+        name => run_named(name).unwrap_or_else(|| {
+            eprintln!("toolroom: no role {name}\n\n{}", options.usage(USAGE));
             ExitCode::from(2)
-        }
+        }),
     }
 }
 
+/// Runs the role of this name, if there is one.
+fn run_named(name: &str) -> Option<ExitCode> {
+    Role::named(name).map(run)
+}
+
 /// Tells what a settings file or a configuration call would put in force, or what is wrong with it.
 fn check(settings: Option<String>, config: Option<String>) -> ExitCode {
     if let Some(path) = config {
@@ -245,7 +249,25 @@
     serde_json::to_string_pretty(&value).map_err(Error::other)
 }
 
-fn run(role: &str) -> ExitCode {
+/// What a process is.
+#[derive(Clone, Copy, Debug)]
+enum Role {
+    Edge,
+    Core,
+}
+
+impl Role {
+    /// The role of this name, or of the one that deploy files gave it before.
+    fn named(name: &str) -> Option<Self> {
+        match name {
+            "edge" | "jig" => Some(Role::Edge),
+            "core" | "anvil" => Some(Role::Core),
+            _ => None,
+        }
+    }
+}
+
+fn run(role: Role) -> ExitCode {
     let filter = tracing_subscriber::EnvFilter::try_from_default_env();
     let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     let log = tracing_subscriber::fmt().json().flatten_event(true).with_target(false);
@@ -267,8 +289,8 @@
     let local = tokio::task::LocalSet::new();
     let ended = local.block_on(&runtime, async {
         match role {
-            "jig" => jig::run(settings).await,
-            _ => anvil::run(settings).await,
+            Role::Edge => edge_server::run(settings).await,
+            Role::Core => core_server::run(settings).await,
         }
     });
     match ended {
--- a/toolroom/src/sim/stories_worst.rs
+++ b/toolroom/src/sim/stories_worst.rs
@@ -277,7 +277,12 @@
     }
     expect_that!(
         found,
-        unordered_elements_are![eq("signals.rs"), eq("store.rs"), eq("jig.rs"), eq("capacity/children.rs")]
+        unordered_elements_are![
+            eq("signals.rs"),
+            eq("store.rs"),
+            eq("edge_server.rs"),
+            eq("capacity/children.rs")
+        ]
     );
 }
 
--- a/toolroom/tests/calls.rs
+++ b/toolroom/tests/calls.rs
@@ -43,7 +43,7 @@
         std::fs::write(folder.join("c.toml"), settings).expect("written");
         let log = std::fs::File::create(folder.join("c.log")).expect("a file");
         let child = Command::new(env!("CARGO_BIN_EXE_toolroom"))
-            .arg("anvil")
+            .arg("core")
             .env("WHINSTALL_NODE_FILE", folder.join("c.toml"))
             .stderr(log)
             .stdin(Stdio::null())
--- a/toolroom/tests/common/whole.rs
+++ b/toolroom/tests/common/whole.rs
@@ -19,8 +19,8 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub control: SocketAddr,
-    pub jig: Option<Role>,
-    pub anvil: Option<Role>,
+    pub edge: Option<Role>,
+    pub core: Option<Role>,
     pub answer: Arc<Mutex<String>>,
     pub heard: Arc<Mutex<Vec<String>>>,
 }
@@ -35,9 +35,9 @@
         let (front, ready, control) = (address(port()), address(port()), address(port()));
         let heard = Arc::new(Mutex::new(Vec::new()));
         let answer = Arc::new(Mutex::new(String::new()));
-        for (role, cold) in [("jig", true), ("anvil", true), ("again", false)] {
+        for (role, cold) in [("edge", true), ("core", true), ("again", false)] {
             let endpoints = match role {
-                "jig" => format!("front_http = \"{front}\"\nready_port = \"{ready}\""),
+                "edge" => format!("front_http = \"{front}\"\nready_port = \"{ready}\""),
                 _ => format!("control_port = \"{control}\""),
             };
             let data = folder.join("data");
@@ -49,9 +49,9 @@
             );
             std::fs::write(folder.join(format!("{role}.toml")), settings).expect("written");
         }
-        let mut whole = Whole { folder, front, ready, control, jig: None, anvil: None, answer, heard };
-        whole.anvil = Some(whole.run("anvil", "anvil"));
-        whole.jig = Some(whole.run("jig", "jig"));
+        let mut whole = Whole { folder, front, ready, control, edge: None, core: None, answer, heard };
+        whole.core = Some(whole.run("core", "core"));
+        whole.edge = Some(whole.run("edge", "edge"));
         whole
     }
 
@@ -115,9 +115,9 @@
 
     /// Asks the gatekeeper to end; returns when, once it says that it is not ready any more.
     pub fn terminate(&self) -> Instant {
-        let jig = self.jig.as_ref().expect("it runs");
+        let edge = self.edge.as_ref().expect("it runs");
         let begun = Instant::now();
-        let told = Command::new("kill").arg("-TERM").arg(jig.child.id().to_string()).status();
+        let told = Command::new("kill").arg("-TERM").arg(edge.child.id().to_string()).status();
         assert!(told.expect("kill runs").success());
         until("it is not ready any more", || !self.is_ready());
         begun
@@ -125,8 +125,8 @@
 
     /// The gatekeeper has ended, as one that was asked to.
     pub fn ends(&mut self) {
-        let jig = self.jig.as_mut().expect("it runs");
-        assert!(jig.child.wait().expect("it ends").success());
+        let edge = self.edge.as_mut().expect("it runs");
+        assert!(edge.child.wait().expect("it ends").success());
     }
 
     pub fn answers(&self, text: &str) {
@@ -156,9 +156,9 @@
 
 impl Drop for Whole {
     fn drop(&mut self) {
-        (self.jig, self.anvil) = (None, None);
+        (self.edge, self.core) = (None, None);
         if std::thread::panicking() {
-            for role in ["anvil", "jig"] {
+            for role in ["core", "edge"] {
                 let log = std::fs::read_to_string(self.folder.join(format!("{role}.log")));
                 println!("{role}:\n{}", log.unwrap_or_default());
             }
--- a/toolroom/tests/seeds.rs
+++ b/toolroom/tests/seeds.rs
@@ -45,7 +45,7 @@
     fn settings(&self, n: u8, role: &str, seeds: &[u8], cold: bool) -> String {
         let [inner, front, ready, control] = self.at(n);
         let endpoints = match role {
-            "jig" => format!("front_http = \"{front}\"\nready_port = \"{ready}\""),
+            "edge" => format!("front_http = \"{front}\"\nready_port = \"{ready}\""),
             _ => format!("control_port = \"{control}\""),
         };
         let data = self.folder.join(format!("data-{n}"));
@@ -148,20 +148,20 @@
     let (nonsense, mut silent) =
         (Stranger::new(site.at(3)[0], b"220 mail.example ready\r\n"), Stranger::new(site.at(4)[0], b""));
     let seeds = [1, 2, 3, 4, 5];
-    let _gates = [site.run(1, "jig", &seeds, false), site.run(5, "jig", &seeds, false)];
+    let _gates = [site.run(1, "edge", &seeds, false), site.run(5, "edge", &seeds, false)];
     // Each is given up and tried again.
     until("strangers are met again", || nonsense.met() > 4 && silent.met() > 4);
     expect_that!([site.readiness(1), site.readiness(5)], eq([503, 503]));
     // A core machine gets the address of the silent one. Connections to that one still stand.
     silent.stops_listening();
-    let anvil = site.run(4, "anvil", &[4], true);
+    let core = site.run(4, "core", &[4], true);
     site.configure(4);
     until("ready", || site.is_ready(1) && site.is_ready(5));
     // It is killed; its address goes to nobody, and a successor is at another seed's address.
-    drop(anvil);
+    drop(core);
     let data = |n| site.folder.join(format!("data-{n}"));
-    let (_, _) = (site.settings(2, "anvil", &[2], false), std::fs::remove_dir_all(data(2)));
-    let _successor = site.run(2, "anvil", &[2], true);
+    let (_, _) = (site.settings(2, "core", &[2], false), std::fs::remove_dir_all(data(2)));
+    let _successor = site.run(2, "core", &[2], true);
     site.configure(2);
     until("still ready", || site.is_ready(1) && site.is_ready(5));
 }
@@ -169,12 +169,12 @@
 #[gtest]
 fn a_core_machine_is_there_by_its_disk_whoever_its_seeds_are() {
     let site = Site::new("disk", 12);
-    let first = site.run(1, "anvil", &[1], true);
+    let first = site.run(1, "core", &[1], true);
     site.configure(1);
     drop(first);
     let _strangers =
         [Stranger::new(site.at(3)[0], b"\x00\x00\x00\x03abc"), Stranger::new(site.at(4)[0], b"")];
-    let _again = site.run(1, "anvil", &[2, 3, 4], false);
+    let _again = site.run(1, "core", &[2, 3, 4], false);
     let read = "GET /whinstall/configuration/read HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n";
     until("it reads", || say(site.at(1)[3], read).contains("\"s1\""));
 }
@@ -182,11 +182,11 @@
 #[gtest]
 fn a_settings_file_that_changes_without_a_signal_is_taken_once_it_is_whole() {
     let site = Site::new("file", 13);
-    let _anvil = site.run(1, "anvil", &[1], true);
+    let _core = site.run(1, "core", &[1], true);
     site.configure(1);
-    let _jig = site.run(2, "jig", &[9], false);
+    let _edge = site.run(2, "edge", &[9], false);
     until("it serves", || site.readiness(2) == 503);
-    let whole = site.settings(2, "jig", &[9, 1], false);
+    let whole = site.settings(2, "edge", &[9, 1], false);
     let cut = whole.find("seed_list").expect("a list") + 14;
     std::fs::write(site.file(2), &whole[..cut]).expect("written");
     until("half of it is refused", || site.logged(2, "settings can't be used; the old ones stay"));
@@ -199,15 +199,15 @@
 #[gtest]
 fn other_seeds_are_reached_for_at_a_signal() {
     let site = Site::new("signal", 14);
-    let _anvil = site.run(1, "anvil", &[1], true);
+    let _core = site.run(1, "core", &[1], true);
     site.configure(1);
-    let jig = site.run(2, "jig", &[9], false);
+    let edge = site.run(2, "edge", &[9], false);
     until("it serves", || site.readiness(2) == 503);
     // By another name first, so that it is never seen in part.
     let making = site.folder.join("making");
-    std::fs::write(&making, site.settings(2, "jig", &[1], false)).expect("written");
+    std::fs::write(&making, site.settings(2, "edge", &[1], false)).expect("written");
     std::fs::rename(making, site.file(2)).expect("renamed");
-    let told = Command::new("kill").arg("-HUP").arg(jig.child.id().to_string()).status();
+    let told = Command::new("kill").arg("-HUP").arg(edge.child.id().to_string()).status();
     expect_that!(told.expect("kill runs").success(), eq(true));
     until("ready", || site.is_ready(2));
 }
--- a/toolroom/tests/whole.rs
+++ b/toolroom/tests/whole.rs
@@ -188,9 +188,9 @@
     while begun.elapsed() < Duration::from_secs(1) {
         is_served(&whole);
     }
-    whole.anvil = None;
+    whole.core = None;
     is_served(&whole);
-    whole.anvil = Some(whole.run("anvil", "again"));
+    whole.core = Some(whole.run("core", "again"));
     let body = |answer: &str| answer.split("\r\n\r\n").nth(1).unwrap_or_default().to_owned();
     until("it is read again", || {
         is_served(&whole);
@@ -248,7 +248,7 @@
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     let help = run(&["--help"]);
     expect_that!(help.status.code(), some(eq(0)));
-    for word in ["jig", "anvil", "check", "WHINSTALL_NODE_FILE"] {
+    for word in ["edge", "core", "check", "WHINSTALL_NODE_FILE"] {
         expect_that!(text(&help.stdout), contains_substring(word));
     }
     expect_that!(run(&["hammer"]).status.code(), some(eq(2)));
