--- a/toolroom/src/counter.rs
+++ b/toolroom/src/counter.rs
@@ -111,8 +111,7 @@
     None,
     /// Somebody, whose newest record among most of the core this is, of whatever age. Stores begin with one unit.
     Recorded(&'a Shares),
-    /// Somebody whose record may be lost: nothing is granted but what gatekeepers bring, until all other shares have
-    /// lapsed.
+    /// Somebody whose record may be lost: until all other shares lapse, only what gatekeepers bring is granted.
     #[cfg_attr(not(test), expect(dead_code))]
     Unrecorded,
 }
@@ -580,8 +579,7 @@
 
 /// Requests a second that every gatekeeper is taken to be asked beside what it is: shares for whoever asks next.
 const ASKS_FLOOR: f64 = 0.3;
-/// Shares go by what asks, and by so much of the mean over gatekeepers in touch: what asks at one is a few requests, and
-/// as many more or less a moment later.
+/// Shares go by what asks, and by so much of the mean over gatekeepers in touch: what asks at one varies by chance.
 const EVEN: f64 = 1.0;
 /// This part of the rate is kept out of what shares aim at, so that one can rise at once while others come down later.
 const RESERVE: f64 = 0.05;
@@ -591,11 +589,9 @@
 const ROOM: f64 = 1.3;
 /// ...and come down once they are so many times what is wanted.
 const LOWERED: f64 = 4.0;
-/// Beside the grants that were brought, so many seconds of the rate at the most are there to be granted while others
-/// may hold grants of the last holder.
+/// Beside grants that were brought, so many seconds of the rate are there while others may hold the last holder's.
 const EARLY_S: f64 = 0.1;
-/// A later holder has so many units of each tenant at first: with none, a request that waits as it begins would be beyond
-/// the quota, however seldom its tenant asks.
+/// A later holder's stores begin with so many units: a request that waits then is served if its tenant seldom asks.
 const FIRST_UNITS: f64 = 1.0;
 /// An answer is under way for so long at the most, where it arrives: seconds.
 const UNDER_WAY_S: f64 = 0.1;
