--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -368,6 +368,18 @@
 
 impl Worker {
     pub fn start(id: &str, service: &str, work_ms: u64, runs: &Arc<Mutex<Vec<Run>>>, record: &Record) -> Arc<Worker> {
+        Self::start_by_path(id, service, &[("/", work_ms)], runs, record)
+    }
+
+    /// A worker whose work takes by the path's beginning: milliseconds.
+    pub fn start_by_path(
+        id: &str,
+        service: &str,
+        work: &[(&str, u64)],
+        runs: &Arc<Mutex<Vec<Run>>>,
+        record: &Record,
+    ) -> Arc<Worker> {
+        let work: Vec<(String, u64)> = work.iter().map(|(path, ms)| ((*path).to_owned(), *ms)).collect();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let worker = Arc::new(Worker {
             id: id.into(),
@@ -387,8 +399,8 @@
                     return;
                 }
                 this.connections.lock().unwrap().extend(stream.try_clone());
-                let this = Arc::clone(&this);
-                thread::spawn(move || this.serve(stream, work_ms));
+                let (this, work) = (Arc::clone(&this), work.clone());
+                thread::spawn(move || this.serve(stream, &work));
             }
         });
         worker
@@ -405,7 +417,7 @@
         let _ = TcpStream::connect(self.address);
     }
 
-    fn serve(&self, mut stream: TcpStream, work_ms: u64) {
+    fn serve(&self, mut stream: TcpStream, work: &[(String, u64)]) {
         let _ = stream.set_nodelay(true);
         while let Some((head, _body)) = read_message(&mut stream) {
             let at = self.record.now();
@@ -418,7 +430,9 @@
             } else {
                 let tenant = header(&head, "x-tenant").unwrap_or_default().to_owned();
                 self.runs.lock().unwrap().push(Run { at, id: id.clone(), worker: self.id.clone(), tenant });
-                sleep_ms(work_ms);
+                let path = head.split(' ').nth(1).unwrap_or_default();
+                let ms = work.iter().find(|(beginning, _)| path.starts_with(beginning)).map_or(0, |(_, ms)| *ms);
+                sleep_ms(ms);
                 format!(
                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: {}.{id}\r\nContent-Length: 4\r\n\r\ndone",
                     self.id
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 
 mod departure;
 mod lowered_quota;
+mod starved_route;
 
 use kit::{Record, COULD_NOT_RUN};
 use std::path::Path;
@@ -27,6 +28,7 @@
     std::thread::spawn(move || {
         let run = || match case.as_str() {
             "departure" => departure::run(&in_thread),
+            "starved-route" => starved_route::run(&in_thread),
             "lowered-quota" => lowered_quota::run(&in_thread),
             _ => COULD_NOT_RUN,
         };
