Review case 3: a lowered quota is not in force for a quiet tenant

122 requests run in one horizon where 53 are allowed, after a change from 122/122 to 5/5 that was acknowledged 8.5 s before; 5 with the lower limit from the start.

--- a/review/standin/lowered_quota.rs
+++ b/review/standin/lowered_quota.rs
@@ -26,7 +26,7 @@
         return COULD_NOT_RUN;
     }
     let runs = Arc::new(Mutex::new(Vec::new()));
-    for n in 0..4 {
+    for n in 0..10 {
         let worker = Worker::start(&format!("i-{n}"), "lot-catalogue", 5, &runs, record);
         worker.keep_beating(controls.clone());
     }
