--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -53,7 +53,7 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
-fn free_port() -> u16 {
+pub fn free_port() -> u16 {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     loop {
         let n = NEXT.fetch_add(1, Ordering::Relaxed) + u64::from(std::process::id()) * 131;
@@ -531,3 +531,15 @@
         unsafe { kill(pid as i32, SIGKILL) };
     }
 }
+
+/// Remembers a process that a case started by itself.
+pub fn remember(pid: u32) {
+    STARTED.lock().unwrap().push(pid);
+}
+
+/// Kills a process that a case started by itself, and waits for it.
+pub fn end_child(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    STARTED.lock().unwrap().retain(|pid| *pid != child.id());
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod kit;
 
 mod departure;
+mod keyed_bid;
 mod lowered_quota;
 mod starved_route;
 
@@ -29,6 +30,7 @@
         let run = || match case.as_str() {
             "departure" => departure::run(&in_thread),
             "starved-route" => starved_route::run(&in_thread),
+            "keyed-bid" => keyed_bid::run(&in_thread),
             "lowered-quota" => lowered_quota::run(&in_thread),
             _ => COULD_NOT_RUN,
         };
