--- a/review/standin/departure.rs
+++ b/review/standin/departure.rs
@@ -100,6 +100,7 @@
     let broken = to_leaver.iter().filter(|r| r.at > judged_from).count();
     let after = |worker: &str| runs.iter().filter(|r| r.worker == worker && r.at > judged_from).count();
     let sent = sent.lock().unwrap().clone();
+    record_all(record, &sent, &runs);
     record.line(format!("clients: {}", by_status(&sent)));
     let ran: std::collections::BTreeSet<&str> = to_leaver.iter().map(|r| r.id.as_str()).collect();
     let cut: Vec<&Sent> =
--- a/review/standin/keyed_bid.rs
+++ b/review/standin/keyed_bid.rs
@@ -214,6 +214,12 @@
     end_child(&mut gatekeeper);
     let _ = std::fs::remove_dir_all(&folder);
     let ran = servers.ran.lock().unwrap();
+    let run_of = |bid: &Bid| {
+        let key = bid.key.as_deref().unwrap_or("none");
+        let worker = format!("server {} (key {key}, answered: {})", bid.server, bid.is_answered);
+        Run { at: bid.at, id: bid.id.clone(), worker, tenant: String::new() }
+    };
+    record_all(record, &sent, &ran.iter().map(run_of).collect::<Vec<_>>());
     let mut by_id: BTreeMap<&str, Vec<&Bid>> = BTreeMap::new();
     ran.iter().for_each(|bid| by_id.entry(&bid.id).or_default().push(bid));
     let statuses: HashMap<&str, u16> = sent.iter().map(|s| (s.id.as_str(), s.status)).collect();
--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -543,3 +543,20 @@
     let _ = child.wait();
     STARTED.lock().unwrap().retain(|pid| *pid != child.id());
 }
+
+/// Writes down all that was sent, answered and run, in the order of its time.
+pub fn record_all(record: &Record, sent: &[Sent], runs: &[Run]) {
+    let mut lines: Vec<(f64, String)> = Vec::new();
+    for Sent { at, id, status, took } in sent {
+        lines.push((*at, format!("{at:8.3} sent {id}, answered {status} after {took:.3} s")));
+    }
+    for Run { at, id, worker, tenant } in runs {
+        lines.push((*at, format!("{at:8.3} run {id} by {worker}, tenant {tenant:?}")));
+    }
+    lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+    record.line("all that was sent, answered and run:");
+    let mut file = record.file.lock().unwrap();
+    for (_, line) in lines {
+        let _ = writeln!(file, "{line}");
+    }
+}
--- a/review/standin/lowered_quota.rs
+++ b/review/standin/lowered_quota.rs
@@ -60,6 +60,7 @@
     let sent = send("late", 16, 12);
     record.line(format!("late requests, from {from:.3}: {}", by_status(&sent)));
     sleep_ms(300);
+    record_all(record, &sent, &runs.lock().unwrap());
     let mut at: Vec<f64> = runs.lock().unwrap().iter().filter(|r: &&Run| r.id.starts_with("late")).map(|r| r.at).collect();
     at.sort_by(f64::total_cmp);
     let most = at.iter().map(|start| at.iter().filter(|t| **t >= *start && **t < start + HORIZON_S).count()).max().unwrap_or(0);
--- a/review/standin/starved_route.rs
+++ b/review/standin/starved_route.rs
@@ -66,6 +66,7 @@
     stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|c| drop(c.join()));
     let sent = sent.lock().unwrap().clone();
+    record_all(record, &sent, &runs.lock().unwrap());
     let share = |name: &str, from: f64, until: f64| {
         let of: Vec<Sent> =
             sent.iter().filter(|s| s.at > from && s.at < until && s.id.starts_with(name)).cloned().collect();
