Calls to the leader are LeaderRequest and LeaderResponse; older releases count while they vote or are in contact

Need: OperatorRequest and OperatorResponse now carry workers' announcements too, so their names misled. A core node of an earlier release that is gone for good would have kept shutdowns at 503 for as long as a seed list names it.

Change: types and file renamed (`protocol/leader_call.rs`), serialized names unchanged; `has_older_release` counts voters and nodes in contact only.

--- a/crates/gateway/src/control_plane/api_calls.rs
+++ b/crates/gateway/src/control_plane/api_calls.rs
@@ -5,7 +5,7 @@
 use crate::configuration::ConfigChange;
 use crate::control_plane::events::ApiCommand;
 use crate::discovery::{ShutdownAnnouncement, ShutdownPhase, Worker, WorkerPhase};
-use crate::protocol::OperatorRequest;
+use crate::protocol::LeaderRequest;
 use serde_json::{json, Value};
 use std::sync::Arc;
 
@@ -24,13 +24,13 @@
     ) {
         match command {
             ApiCommand::Amend(items) => {
-                let request = OperatorRequest::Amend(ConfigChange::new(items));
-                self.handle_operator_request(now, call, request, out);
+                let request = LeaderRequest::Amend(ConfigChange::new(items));
+                self.submit_to_leader(now, call, request, out);
             }
             ApiCommand::InvalidChange(reason) => {
-                self.handle_operator_request(now, call, OperatorRequest::Reject(reason), out);
+                self.submit_to_leader(now, call, LeaderRequest::Reject(reason), out);
             }
-            ApiCommand::Read => self.handle_operator_request(now, call, OperatorRequest::Read, out),
+            ApiCommand::Read => self.submit_to_leader(now, call, LeaderRequest::Read, out),
             ApiCommand::Journal => out.push(Effect::Respond(call, 200, self.context.journal.render(now))),
             ApiCommand::Status => out.push(Effect::Respond(call, 200, self.status(now))),
             // Without a majority this node's view may be outdated, so the caller has to retry at another core node.
@@ -53,13 +53,7 @@
         }
     }
 
-    fn handle_operator_request(
-        &mut self,
-        now: f64,
-        call: CallId,
-        request: OperatorRequest,
-        out: &mut Vec<Effect>,
-    ) {
+    fn submit_to_leader(&mut self, now: f64, call: CallId, request: LeaderRequest, out: &mut Vec<Effect>) {
         self.configuration.handle_call(call, request, &mut self.raft, &mut self.context, out);
         self.process_raft_outputs(now, out);
     }
@@ -101,11 +95,11 @@
         announcement: ShutdownAnnouncement,
         out: &mut Vec<Effect>,
     ) {
-        if self.context.knows_older_release() {
+        if self.context.has_older_release() {
             let reason = error_body("a core node of an earlier release can't record shutdowns");
             return out.push(Effect::Respond(call, 503, reason));
         }
-        self.handle_operator_request(now, call, OperatorRequest::AnnounceShutdown(announcement), out);
+        self.submit_to_leader(now, call, LeaderRequest::AnnounceShutdown(announcement), out);
     }
 }
 
--- a/crates/gateway/src/control_plane/configuration_service.rs
+++ b/crates/gateway/src/control_plane/configuration_service.rs
@@ -15,7 +15,7 @@
 use crate::consensus::{Index, LogPosition, NodeId, Raft, Term};
 use crate::control_plane::event_journal::JournalEvent;
 use crate::discovery::{AnnouncedShutdowns, ShutdownAnnouncement};
-use crate::protocol::{LogCommand, OperatorRequest, OperatorResponse, PeerMessage};
+use crate::protocol::{LeaderRequest, LeaderResponse, LogCommand, PeerMessage};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt::{Display, Formatter};
@@ -150,7 +150,7 @@
     pub fn handle_call(
         &mut self,
         call: CallId,
-        request: OperatorRequest,
+        request: LeaderRequest,
         raft: &mut Raft<LogCommand>,
         context: &mut CoreContext,
         out: &mut Vec<Effect>,
@@ -174,7 +174,7 @@
         &mut self,
         conn: ConnectionId,
         request_id: u64,
-        request: OperatorRequest,
+        request: LeaderRequest,
         raft: &mut Raft<LogCommand>,
         context: &mut CoreContext,
         out: &mut Vec<Effect>,
@@ -186,7 +186,7 @@
     fn submit(
         &mut self,
         origin: CallOrigin,
-        request: OperatorRequest,
+        request: LeaderRequest,
         raft: &mut Raft<LogCommand>,
         context: &mut CoreContext,
         out: &mut Vec<Effect>,
@@ -194,10 +194,10 @@
         let log_time = context.log_time(context.now);
         let deadline = context.now + CALL_TIMEOUT_SECS;
         let is_submitted = match request {
-            OperatorRequest::Amend(change) => {
+            LeaderRequest::Amend(change) => {
                 self.await_commit(raft.propose(log_time, LogCommand::Configure(change)), origin, deadline)
             }
-            OperatorRequest::AnnounceShutdown(announcement) => match self.shutdowns.index_of(&announcement) {
+            LeaderRequest::AnnounceShutdown(announcement) => match self.shutdowns.index_of(&announcement) {
                 // Recorded before: what is missing, at most, are copies of that entry.
                 Some(index) if raft.is_leader() => {
                     let announcement = Some(announcement);
@@ -209,15 +209,15 @@
                     self.await_commit(position, origin, deadline)
                 }
             },
-            OperatorRequest::Read => self
+            LeaderRequest::Read => self
                 .await_quorum(raft.read_index(log_time), PendingRead { origin, rejection: None, deadline }),
-            OperatorRequest::Reject(reason) => {
+            LeaderRequest::Reject(reason) => {
                 let rejection = Some(reason);
                 self.await_quorum(raft.read_index(log_time), PendingRead { origin, rejection, deadline })
             }
         };
         if !is_submitted {
-            let response = OperatorResponse::Undetermined("this core node is not the leader".into());
+            let response = LeaderResponse::Undetermined("this core node is not the leader".into());
             self.respond(origin, response, context, out);
         }
     }
@@ -240,7 +240,7 @@
     pub fn handle_forward_response(
         &mut self,
         request_id: u64,
-        response: OperatorResponse,
+        response: LeaderResponse,
         context: &mut CoreContext,
         out: &mut Vec<Effect>,
     ) {
@@ -252,7 +252,7 @@
     fn respond(
         &mut self,
         origin: CallOrigin,
-        response: OperatorResponse,
+        response: LeaderResponse,
         context: &mut CoreContext,
         out: &mut Vec<Effect>,
     ) {
@@ -264,11 +264,11 @@
             }
         };
         let (status, body) = match response {
-            OperatorResponse::Accepted => (200, json!({})),
-            OperatorResponse::Rejected(status, reason) => (status, error_body(reason)),
-            OperatorResponse::Undetermined(reason) => (503, error_body(reason)),
-            OperatorResponse::Read(index) if self.applied >= index => (200, self.state.to_json()),
-            OperatorResponse::Read(index) => {
+            LeaderResponse::Accepted => (200, json!({})),
+            LeaderResponse::Rejected(status, reason) => (status, error_body(reason)),
+            LeaderResponse::Undetermined(reason) => (503, error_body(reason)),
+            LeaderResponse::Read(index) if self.applied >= index => (200, self.state.to_json()),
+            LeaderResponse::Read(index) => {
                 // This node has not applied yet what the leader has committed.
                 let deadline = context.now + CALL_TIMEOUT_SECS;
                 return self.lagging_reads.push(LaggingRead { index, call, deadline });
@@ -291,15 +291,13 @@
         let outcome = self.state.apply(position.index, change);
         self.applied = position.index;
         let (response, changed) = match outcome {
-            ChangeOutcome::Applied(items) => (OperatorResponse::Accepted, items),
-            ChangeOutcome::AlreadyApplied => (OperatorResponse::Accepted, Vec::new()),
-            ChangeOutcome::Conflict(error) => {
-                (OperatorResponse::Rejected(409, error.to_string()), Vec::new())
-            }
-            ChangeOutcome::Invalid(error) => (OperatorResponse::Rejected(400, error.to_string()), Vec::new()),
+            ChangeOutcome::Applied(items) => (LeaderResponse::Accepted, items),
+            ChangeOutcome::AlreadyApplied => (LeaderResponse::Accepted, Vec::new()),
+            ChangeOutcome::Conflict(error) => (LeaderResponse::Rejected(409, error.to_string()), Vec::new()),
+            ChangeOutcome::Invalid(error) => (LeaderResponse::Rejected(400, error.to_string()), Vec::new()),
             ChangeOutcome::Indeterminate => {
                 let reason = "version too old to know whether it was accepted before";
-                (OperatorResponse::Undetermined(reason.into()), Vec::new())
+                (LeaderResponse::Undetermined(reason.into()), Vec::new())
             }
         };
         record_outcome(position.index, &response, &changed, context);
@@ -320,14 +318,14 @@
         self.shutdowns.record(position.index, announcement);
         self.applied = position.index;
         let announcement = Some(announcement.clone());
-        self.resolve_proposed(position, OperatorResponse::Accepted, announcement, context, out);
+        self.resolve_proposed(position, LeaderResponse::Accepted, announcement, context, out);
     }
 
     /// Resolves what was proposed at this position, if anything, now that an entry at its index is committed.
     fn resolve_proposed(
         &mut self,
         position: LogPosition,
-        response: OperatorResponse,
+        response: LeaderResponse,
         announcement: Option<ShutdownAnnouncement>,
         context: &mut CoreContext,
         out: &mut Vec<Effect>,
@@ -338,11 +336,11 @@
         if term != position.term {
             // Another leader's entry replaced the proposed one. The response leaves the outcome open, so that the
             // caller retries.
-            let response = OperatorResponse::Undetermined("leadership changed before the commit".into());
+            let response = LeaderResponse::Undetermined("leadership changed before the commit".into());
             return self.respond(origin, response, context, out);
         }
         match response {
-            OperatorResponse::Accepted => {
+            LeaderResponse::Accepted => {
                 let index = position.index;
                 self.unreplicated.push(UnreplicatedChange { index, announcement, origin, deadline });
             }
@@ -386,7 +384,7 @@
                 continue;
             }
             record_acknowledgement(&change, holders.len(), context);
-            self.respond(change.origin, OperatorResponse::Accepted, context, out);
+            self.respond(change.origin, LeaderResponse::Accepted, context, out);
         }
     }
 
@@ -397,9 +395,9 @@
             Some(reason) => {
                 tracing::warn!(why = reason, "invalid configuration call rejected");
                 context.journal.append(context.now, JournalEvent::Rejected(reason.clone()));
-                OperatorResponse::Rejected(400, reason)
+                LeaderResponse::Rejected(400, reason)
             }
-            None => OperatorResponse::Read(self.applied),
+            None => LeaderResponse::Read(self.applied),
         };
         self.respond(pending.origin, response, context, out);
     }
@@ -426,7 +424,7 @@
             tracing::warn!(step = %stage, "call timed out");
             context.journal.append(now, JournalEvent::TimedOut(stage));
             let reason = format!("timed out waiting for {}", stage.description());
-            let response = OperatorResponse::Undetermined(reason);
+            let response = LeaderResponse::Undetermined(reason);
             self.respond(origin, response, context, out);
         }
     }
@@ -452,16 +450,16 @@
 /// catches up.
 fn record_outcome(
     index: Index,
-    response: &OperatorResponse,
+    response: &LeaderResponse,
     changed: &[Arc<ConfigItem>],
     context: &mut CoreContext,
 ) {
     match response {
-        OperatorResponse::Rejected(status, error) => {
+        LeaderResponse::Rejected(status, error) => {
             tracing::warn!(index, status, error, "configuration rejected");
             context.journal.append(context.now, JournalEvent::Rejected(error.clone()));
         }
-        OperatorResponse::Accepted => {
+        LeaderResponse::Accepted => {
             let versions = changed.iter().map(|i| format!("{}=r{}", i.label, i.version));
             let items = versions.collect::<Vec<_>>().join(" ");
             tracing::info!(index, items, "configuration applied");
@@ -469,6 +467,6 @@
                 context.journal.append(context.now, JournalEvent::Item((**item).clone()));
             }
         }
-        OperatorResponse::Undetermined(_) | OperatorResponse::Read(_) => {}
+        LeaderResponse::Undetermined(_) | LeaderResponse::Read(_) => {}
     }
 }
--- a/crates/gateway/src/control_plane/context.rs
+++ b/crates/gateway/src/control_plane/context.rs
@@ -127,10 +127,11 @@
         self.protocol_versions.insert(ip, version);
     }
 
-    /// Whether a core node of an earlier release is known, which can't decode all messages of this one. Such nodes
-    /// exist during a rolling upgrade.
-    pub fn knows_older_release(&self) -> bool {
-        self.protocol_versions.values().any(|version| *version < CORE_PROTOCOL_VERSION)
+    /// Whether a voter, or another core node in contact, is of an earlier release, which can't decode all messages of
+    /// this one. Such nodes exist during a rolling upgrade.
+    pub fn has_older_release(&self) -> bool {
+        let is_present = |ip: &IpAddr| self.voters.contains(ip) || self.is_reachable(self.now, ip);
+        self.protocol_versions.iter().any(|(ip, version)| *version < CORE_PROTOCOL_VERSION && is_present(ip))
     }
 
     /// Whether data on these nodes survives every loss that the settings tolerate. True if they are more nodes, in more
--- a/crates/gateway/src/protocol/operator.rs
+++ b/crates/gateway/src/protocol/leader_call.rs
@@ -7,7 +7,7 @@
 
 /// A call of an operator or a worker that the leader decides.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum OperatorRequest {
+pub enum LeaderRequest {
     /// Change the configuration.
     Amend(ConfigChange),
     /// Read the newest configuration.
@@ -21,9 +21,9 @@
     AnnounceShutdown(ShutdownAnnouncement),
 }
 
-/// The outcome of an [`OperatorRequest`].
+/// The outcome of an [`LeaderRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum OperatorResponse {
+pub enum LeaderResponse {
     /// The change or announcement is committed, and enough synced disks hold it (HTTP 200).
     #[serde(rename = "Taken")]
     Accepted,
--- a/crates/gateway/src/protocol/message.rs
+++ b/crates/gateway/src/protocol/message.rs
@@ -1,6 +1,6 @@
 //! The messages that edge nodes and core nodes send each other over TCP.
 
-use super::{LogCommand, NodeLocation, OperatorRequest, OperatorResponse, TenantGrant, TenantUsage};
+use super::{LeaderRequest, LeaderResponse, LogCommand, NodeLocation, TenantGrant, TenantUsage};
 use crate::configuration::ConfigItem;
 use crate::consensus::{Index, Message, NodeId};
 use crate::discovery::Worker;
@@ -121,7 +121,7 @@
         /// Correlates the response.
         request_id: u64,
         /// The call.
-        request: OperatorRequest,
+        request: LeaderRequest,
     },
     /// The leader's response to [`PeerMessage::ForwardRequest`].
     #[serde(rename = "Forwarded")]
@@ -129,7 +129,7 @@
         /// As in the request.
         request_id: u64,
         /// The response.
-        response: OperatorResponse,
+        response: LeaderResponse,
     },
     /// Edge to quota leader: usage by tenant.
     #[serde(rename = "Sync")]
--- a/crates/gateway/src/protocol/mod.rs
+++ b/crates/gateway/src/protocol/mod.rs
@@ -8,22 +8,22 @@
 mod codec;
 #[cfg(test)]
 mod codec_tests;
+mod leader_call;
 mod load_report;
 mod log_command;
 mod message;
 mod node_location;
-mod operator;
 mod quota;
 mod share_ceilings;
 #[cfg(test)]
 mod wire_fixture_tests;
 
 pub use codec::{decode, encode, CodecError, MAX_MESSAGE_BYTES};
+pub use leader_call::{LeaderRequest, LeaderResponse};
 pub use load_report::LoadReport;
 pub use log_command::LogCommand;
 pub use message::PeerMessage;
 pub use node_location::NodeLocation;
-pub use operator::{OperatorRequest, OperatorResponse};
 pub use quota::{
     standing_share_expiry_secs, TenantGrant, TenantLimit, TenantUsage, QUOTA_CONTACT_TIMEOUT_SECS,
     QUOTA_SYNC_INTERVAL_SECS,
--- a/crates/gateway/src/protocol/wire_fixture_tests.rs
+++ b/crates/gateway/src/protocol/wire_fixture_tests.rs
@@ -7,7 +7,7 @@
 use crate::discovery::{ShutdownAnnouncement, ShutdownPhase, Worker, WorkerPhase};
 use crate::protocol::LogCommand;
 use crate::protocol::{
-    decode, encode, LoadReport, NodeLocation, OperatorRequest, OperatorResponse, PeerMessage, TenantGrant,
+    decode, encode, LeaderRequest, LeaderResponse, LoadReport, NodeLocation, PeerMessage, TenantGrant,
     TenantUsage,
 };
 use crate::protocol::{EdgeCeilings, ShareCeilings, TenantCeiling};
@@ -202,14 +202,14 @@
         raft(Message::TimeoutNow { term }),
         PeerMessage::Leave { id: id(v4(), 0) },
         PeerMessage::Join { id: id(v6(), u64::MAX), forwarded: true },
-        forward(OperatorRequest::Amend(Arc::new(items()))),
-        forward(OperatorRequest::Read),
-        forward(OperatorRequest::Reject("why".into())),
-        forward(OperatorRequest::AnnounceShutdown(announcement(ShutdownPhase::Departed))),
-        forwarded(OperatorResponse::Accepted),
-        forwarded(OperatorResponse::Rejected(409, "why".into())),
-        forwarded(OperatorResponse::Undetermined("why".into())),
-        forwarded(OperatorResponse::Read(304)),
+        forward(LeaderRequest::Amend(Arc::new(items()))),
+        forward(LeaderRequest::Read),
+        forward(LeaderRequest::Reject("why".into())),
+        forward(LeaderRequest::AnnounceShutdown(announcement(ShutdownPhase::Departed))),
+        forwarded(LeaderResponse::Accepted),
+        forwarded(LeaderResponse::Rejected(409, "why".into())),
+        forwarded(LeaderResponse::Undetermined("why".into())),
+        forwarded(LeaderResponse::Read(304)),
         PeerMessage::QuotaSync { request_id: 9000, term, usage: vec![charge] },
         PeerMessage::QuotaGrants { request_id: 9000, term, is_leader: true, grants: vec![total] },
         PeerMessage::QuotaGrants { request_id: 9001, term, is_leader: false, grants: vec![] },
@@ -235,19 +235,19 @@
         PeerMessage::Join { .. } => "Join",
         PeerMessage::ForwardRequest { request: wish, .. } => {
             let wish = match wish {
-                OperatorRequest::Amend(_) => "Amend",
-                OperatorRequest::Read => "Read",
-                OperatorRequest::Reject(_) => "Refuse",
-                OperatorRequest::AnnounceShutdown(_) => "Announce",
+                LeaderRequest::Amend(_) => "Amend",
+                LeaderRequest::Read => "Read",
+                LeaderRequest::Reject(_) => "Refuse",
+                LeaderRequest::AnnounceShutdown(_) => "Announce",
             };
             return vec!["Forward", wish];
         }
         PeerMessage::ForwardResponse { response: answer, .. } => {
             let answer = match answer {
-                OperatorResponse::Accepted => "Taken",
-                OperatorResponse::Rejected(..) => "Refused",
-                OperatorResponse::Undetermined(_) => "Unclear",
-                OperatorResponse::Read(_) => "Read",
+                LeaderResponse::Accepted => "Taken",
+                LeaderResponse::Rejected(..) => "Refused",
+                LeaderResponse::Undetermined(_) => "Unclear",
+                LeaderResponse::Read(_) => "Read",
             };
             return vec!["Forwarded", answer];
         }
