--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -145,8 +145,12 @@
         let now = 1000.0 + (self.now - node.booted_at) * node.clock_rate;
         let Some(core) = node.core.as_mut() else { return };
         if node.frozen {
-            // A frozen process gets its events when it resumes; missed ticks are not repeated.
-            node.backlog.extend(Some(event).filter(|e| !matches!(e, control_plane::Event::Tick)));
+            // A frozen process gets its events when it resumes. Its timer then fires once if it is overdue, as that of
+            // the runtime does (`MissedTickBehavior::Delay`).
+            let is_tick = |event: &control_plane::Event| matches!(event, control_plane::Event::Tick);
+            if !is_tick(&event) || !node.backlog.iter().any(is_tick) {
+                node.backlog.push(event);
+            }
             return;
         }
         let mut out = Vec::new();
