Comments of the shutdown record and of the core role: line lengths, the bound is part of the state machine

Need: two comments were longer than a line, and the bound of the record didn't say why members must share it. Change: comments only.

--- a/crates/gateway/src/control_plane/configuration_service.rs
+++ b/crates/gateway/src/control_plane/configuration_service.rs
@@ -4,8 +4,9 @@
 //! A call at a follower is forwarded to the leader. The leader proposes a change as a log entry. Every member evaluates
 //! the committed entry in the same way, so the position in the log alone decides whether a change is accepted or
 //! rejected. The leader acknowledges an accepted change only once enough disks hold it to survive the tolerated losses,
-//! which may be more than a majority. The same holds for a shutdown announcement, which is always accepted. Reads and rejections need no entry, but after the call has arrived a majority has
-//! to confirm the leader (Raft paper, 8): without this, a deposed leader could respond from stale state.
+//! which may be more than a majority. The same holds for a shutdown announcement, which is always accepted. Reads and
+//! rejections need no entry, but after the call has arrived a majority has to confirm the leader (Raft paper, 8):
+//! without this, a deposed leader could respond from stale state.
 //!
 //! A call without an outcome after `CALL_TIMEOUT_SECS` gets 503. It may or may not take effect, and can be retried.
 
@@ -145,8 +146,8 @@
         ConfigurationService { state, shutdowns, applied, ..ConfigurationService::default() }
     }
 
-    /// Handles a call of an operator or a worker at this node. The leader submits it to the log; any other node forwards it to the
-    /// leader. If no leader is reachable the caller gets 503 at once and may retry at another node.
+    /// Handles a call of an operator or a worker at this node. The leader submits it to the log; any other node forwards
+    /// it to the leader. If no leader is reachable the caller gets 503 at once and may retry at another node.
     pub fn handle_call(
         &mut self,
         call: CallId,
--- a/crates/gateway/src/control_plane/mod.rs
+++ b/crates/gateway/src/control_plane/mod.rs
@@ -2,9 +2,9 @@
 //! seconds of a monotonic clock.
 //!
 //! One replicated log orders configuration changes, shutdown announcements of workers, changes of the core's membership
-//! and records of share ceilings ([`configuration_service`], `replicated_log`, [`quota_lease`]). Reports of workers spread between core nodes by
-//! gossip, without waiting for a disk ([`worker_membership`]). Edge nodes are sent the state that they lack
-//! (`edge_sessions`).
+//! and records of share ceilings ([`configuration_service`], `replicated_log`, [`quota_lease`]). Reports of workers
+//! spread between core nodes by gossip, without waiting for a disk ([`worker_membership`]). Edge nodes are sent the
+//! state that they lack (`edge_sessions`).
 //!
 //! Invariants:
 //! - A call is acknowledged only once enough core nodes hold its change on their disks to survive the losses that the
@@ -12,8 +12,7 @@
 //! - A node without contact with a majority neither accepts workers' calls nor sends a full configuration. An edge node
 //!   that has just started would take a stale configuration for the newest.
 //! - A node that has just started accepts no heartbeat before it has applied what was committed before its start
-//!   (`has_caught_up`). It would otherwise take the late heartbeat of a departed worker for that of a new
-//!   one.
+//!   (`has_caught_up`). It would otherwise take the late heartbeat of a departed worker for that of a new one.
 
 mod api_calls;
 mod change_tracker;
--- a/crates/gateway/src/discovery/announced_shutdowns.rs
+++ b/crates/gateway/src/discovery/announced_shutdowns.rs
@@ -12,7 +12,8 @@
 use std::sync::Arc;
 
 /// Number of workers whose announcements are retained; beyond it the earliest one is forgotten. Several times the
-/// workers of a large deployment, all of which may be replaced while a heartbeat is delayed.
+/// workers of a large deployment, all of which may be replaced while a heartbeat is delayed. A part of the replicated
+/// state machine: members with different bounds would diverge.
 pub const MAX_ANNOUNCED_SHUTDOWNS: usize = 4096;
 
 /// Phase of a shutdown that a worker announces itself. The serialized names are part of stored data.
