Comment of worker membership: the invariant as the code keeps it

Need: it promised that no acknowledged shutdown is ever unknown to a node that has caught up; a follower applies an entry a heartbeat of the leader later. Change: comment only. Measured: format, lints and documentation are clean; nothing else was run.

--- a/crates/gateway/src/control_plane/worker_membership.rs
+++ b/crates/gateway/src/control_plane/worker_membership.rs
@@ -6,8 +6,8 @@
 //!
 //! Invariants:
 //! - No report takes a worker back behind a phase that the log has announced: [`WorkerMembership::merge`] restricts
-//!   every report to it. A node that has applied all entries committed before its start therefore never lists a
-//!   worker as serving whose shutdown was acknowledged, whatever reports arrive, and in whatever order.
+//!   every report to it. A node therefore never lists a worker as serving once it has applied the entry of that
+//!   worker's shutdown, whatever reports arrive, and in whatever order.
 //! - Only a node that accepted heartbeats throughout a worker's timeout, and so was in contact with a majority of the
 //!   core, declares that worker unresponsive ([`WorkerMembership::is_complete`]).
 
