--- a/crates/gateway/src/cli/export.rs
+++ b/crates/gateway/src/cli/export.rs
@@ -144,6 +144,11 @@
                 calls_after_snapshot += 1;
                 state.apply(entry.index, change);
             }
+            EntryPayload::Command(LogCommand::ConfigureAndRecordRemovals(change)) => {
+                calls_after_snapshot += 1;
+                state.record_removals();
+                state.apply(entry.index, change);
+            }
             EntryPayload::ConfChange(changed) => members.clone_from(changed),
             EntryPayload::Command(LogCommand::Shares(_) | LogCommand::Shutdown(_))
             | EntryPayload::TermStart => {}
--- a/crates/gateway/src/configuration/mod.rs
+++ b/crates/gateway/src/configuration/mod.rs
@@ -27,6 +27,8 @@
 #[cfg(test)]
 mod race_tests;
 #[cfg(test)]
+mod removal_tests;
+#[cfg(test)]
 mod state_measure;
 #[cfg(test)]
 mod state_tests;
--- a/crates/gateway/src/configuration/state.rs
+++ b/crates/gateway/src/configuration/state.rs
@@ -9,23 +9,29 @@
 //! - **One content per version.** A version that was confirmed once is never confirmed with another content, and a
 //!   change that was confirmed once is never rejected when it is sent again.
 //!
-//! For the last one, each name has its current version and the hashes of confirmed versions that were superseded
+//! - **Removed items stay removed.** No version up to that of a removal ever becomes current again.
+//! - **Names are independent.** What is remembered of one name restricts the versions of no other name. States in which
+//!   releases before [`ConfigState::record_removals`] forgot removed names keep one restriction for all names of a kind.
+//!
+//! For these, each name has its current version and the hashes of confirmed versions that were superseded
 //! lately. Those are bounded over all names together ([`MAX_SUPERSEDED_VERSIONS`]), the first superseded forgotten
 //! first: a name that changes all the time uses what the others leave. A removed item stays as a tombstone for a while
-//! ([`MAX_TOMBSTONES`]). A version that is older than either remembers is answered with
-//! [`ChangeOutcome::Indeterminate`]; a change that is sent, or sent again, before that many others superseded it always
-//! gets a definite outcome.
+//! ([`MAX_TOMBSTONES`]), after that as an entry of the removal record (`state/removal_record.rs`) for good. A version that
+//! is older than these remember is answered with [`ChangeOutcome::Indeterminate`]; a change that is sent, or sent again,
+//! before that many others superseded it always gets a definite outcome.
 
 mod apply;
 mod encoding;
 mod history;
 mod lookups;
+mod removal_record;
 mod validation;
 
 use super::change::ChangeError;
 use super::fields::TenantRate;
 use super::item::{items_to_json, ConfigItem, ItemKind};
 pub use encoding::{StateDecoder, StateEncoder};
+use removal_record::RemovalRecord;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -33,7 +39,7 @@
 
 /// Superseded versions that are remembered, over all names together; those superseded last stay.
 pub const MAX_SUPERSEDED_VERSIONS: usize = 65_536;
-/// Removed items that are remembered; those of the highest versions stay.
+/// Removed items that are remembered with their names and superseded versions; those removed last stay.
 pub const MAX_TOMBSTONES: usize = 4096;
 /// Number of [`ItemKind`]s.
 const KINDS: usize = 4;
@@ -71,6 +77,10 @@
     UnexpectedRecordCount,
     /// an encoded state can't be read: {0} records are missing
     MissingRecords(u64),
+    /// an encoded state can't be read: {0} removed names are missing
+    MissingRemovals(u64),
+    /// an encoded state can't be read: its removed names are out of order
+    UnorderedRemovals,
     /// an encoded state is followed by {0} more bytes
     Surplus(usize),
     /// an encoded state contradicts itself at {set} {label:?}
@@ -104,9 +114,33 @@
     history: VecDeque<SupersededVersion>,
     /// Highest forgotten version: up to it, only the versions in `history` are known to have been confirmed.
     forgotten_up_to: Option<u64>,
+    /// Index of the entry that removed the item; 0 for an active item, and where the removal record was not kept yet.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    removed_at: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// A removed item that has a record. The order is that in which they are forgotten: those removed first go first, then,
+/// as long as no removal record is kept, those of the lowest versions.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Tombstone {
+    removed_at: u64,
+    version: u64,
+    kind: ItemKind,
+    label: String,
 }
 
 impl Record {
+    /// `None` for an active item.
+    fn tombstone(&self) -> Option<Tombstone> {
+        let ConfigItem { kind, label, version, body } = &*self.item;
+        let (removed_at, version, kind) = (self.removed_at, *version, *kind);
+        body.is_none().then(|| Tombstone { removed_at, version, kind, label: label.clone() })
+    }
+
     /// Could [`ConfigState::apply`] have left it like this?
     fn is_consistent(&self) -> bool {
         let versions = || self.history.iter().map(|p| p.version).chain([self.item.version]);
@@ -121,15 +155,18 @@
     last_change_index: u64,
     /// By kind, by name; with the removed ones. Shared with encoders, so copied on write.
     records: [BTreeMap<String, Arc<Record>>; KINDS],
-    /// By kind: of names without a record, versions up to this one may have been confirmed.
+    /// By kind: of names without a record or an entry of the removal record, versions up to this one may have been
+    /// confirmed. Rises only as long as no removal record is kept.
     forgotten_up_to: [Option<u64>; KINDS],
+    /// By kind: the removed names whose tombstones were dropped. `None`: members don't keep this record yet.
+    removal_records: Option<[RemovalRecord; KINDS]>,
     /// The names of the superseded versions that are remembered, by sequence: the first one is forgotten next.
     superseded: BTreeMap<u64, (ItemKind, Arc<str>)>,
     max_superseded: usize,
     /// Sequence of the next version to be superseded.
     next_sequence: u64,
-    /// Removed items, lowest versions first: the first one is forgotten next.
-    tombstones: BTreeSet<(u64, ItemKind, String)>,
+    /// Removed items that have records: the first one is forgotten next.
+    tombstones: BTreeSet<Tombstone>,
     /// Active routes by the service that they name.
     routes_by_service: HashMap<String, BTreeSet<String>>,
     /// Active tenants by credential.
@@ -151,6 +188,7 @@
             last_change_index: 0,
             records: Default::default(),
             forgotten_up_to: Default::default(),
+            removal_records: None,
             superseded: BTreeMap::new(),
             max_superseded,
             next_sequence: 0,
@@ -171,6 +209,17 @@
         self.last_change_index == 0
     }
 
+    /// Records removed names for good from now on. Must be called at the same log entry by each member, because it
+    /// decides about the outcome of later changes.
+    pub fn record_removals(&mut self) {
+        self.removal_records.get_or_insert_default();
+    }
+
+    /// Are removed names recorded for good?
+    pub fn records_removals(&self) -> bool {
+        self.removal_records.is_some()
+    }
+
     /// The active items, by kind and name.
     pub fn active_items(&self) -> impl Iterator<Item = &Arc<ConfigItem>> {
         self.all_items().filter(|i| i.body.is_some())
@@ -205,6 +254,10 @@
         self.records[kind as usize].get(label).map(|r| &**r)
     }
 
+    fn removal_record(&self, kind: ItemKind) -> Option<&RemovalRecord> {
+        self.removal_records.as_ref().map(|records| &records[kind as usize])
+    }
+
     fn record_mut(&mut self, kind: ItemKind, label: &str) -> Option<&mut Record> {
         // A record that an encoder shares is copied first.
         self.records[kind as usize].get_mut(label).map(Arc::make_mut)
--- a/crates/gateway/src/configuration/state/apply.rs
+++ b/crates/gateway/src/configuration/state/apply.rs
@@ -66,7 +66,7 @@
         if let Some(violation) = violation {
             return ChangeOutcome::Invalid(violation);
         }
-        let applied = self.make_current(new.into_values());
+        let applied = self.make_current(index, new.into_values());
         for HashedItem { item, hash } in unconfirmed {
             self.remember_superseded(item, hash);
         }
@@ -95,7 +95,7 @@
                     Recollection::NeverConfirmed => unconfirmed.push(*proposed_item),
                 }
             }
-            let current = self.record(kind, label).map(|r| r.item.version);
+            let current = self.current_version(kind, label);
             let highest = versions.last_key_value().map(|(_, highest)| *highest);
             if let Some(highest) = highest.filter(|h| Some(h.item.version) > current) {
                 new.insert((kind, label), highest);
@@ -107,34 +107,59 @@
         }
     }
 
-    /// Puts these versions in force; returns them.
-    fn make_current<'a>(&mut self, new: impl Iterator<Item = HashedItem<'a>>) -> Vec<Arc<ConfigItem>> {
+    /// The version of a name that is current: of its active item or of its removal.
+    fn current_version(&self, kind: ItemKind, label: &str) -> Option<u64> {
+        let record = self.record(kind, label);
+        record.map_or_else(|| self.recorded_removal(kind, label), |r| Some(r.item.version))
+    }
+
+    /// Puts these versions in force, as of the entry at `index`; returns them.
+    fn make_current<'a>(
+        &mut self,
+        index: u64,
+        new: impl Iterator<Item = HashedItem<'a>>,
+    ) -> Vec<Arc<ConfigItem>> {
         let new: Vec<(u64, Arc<ConfigItem>)> =
             new.map(|HashedItem { item, hash }| (hash, Arc::new(item.clone()))).collect();
         // All old versions leave the lookups first: a credential may move from one tenant to another.
         for (_, item) in &new {
-            if let Some(old) = self.record(item.kind, &item.label).map(|r| Arc::clone(&r.item)) {
+            if let Some(old) = self.records[item.kind as usize].get(&item.label).cloned() {
                 self.remove_from_lookups(&old);
             }
         }
         for &(hash, ref item) in &new {
-            self.add_to_lookups(item);
-            let forgotten_up_to = self.forgotten_up_to[item.kind as usize];
-            match self.record_mut(item.kind, &item.label) {
-                Some(record) => {
-                    let old = std::mem::replace(&mut record.item, Arc::clone(item));
-                    let old_hash = std::mem::replace(&mut record.hash, hash);
-                    self.remember_superseded(&old, old_hash);
-                }
-                None => {
-                    let (item_ref, history) = (Arc::clone(item), VecDeque::new());
-                    let record = Record { item: item_ref, hash, history, forgotten_up_to };
-                    self.records[item.kind as usize].insert(item.label.clone(), Arc::new(record));
-                }
-            }
+            self.set_current(index, item, hash);
         }
         new.into_iter().map(|(_, item)| item).collect()
     }
+
+    /// Makes a version the current one of its name, and adds it to the lookups.
+    fn set_current(&mut self, index: u64, item: &Arc<ConfigItem>, hash: u64) {
+        let is_recorded_removal = item.body.is_none() && self.records_removals();
+        let removed_at = if is_recorded_removal { index } else { 0 };
+        match self.record_mut(item.kind, &item.label) {
+            Some(record) => {
+                let old = std::mem::replace(&mut record.item, Arc::clone(item));
+                let old_hash = std::mem::replace(&mut record.hash, hash);
+                record.removed_at = removed_at;
+                self.remember_superseded(&old, old_hash);
+            }
+            None => {
+                let record = Record {
+                    item: Arc::clone(item),
+                    hash,
+                    history: VecDeque::new(),
+                    forgotten_up_to: self.forgotten_version(item.kind, &item.label),
+                    removed_at,
+                };
+                self.records[item.kind as usize].insert(item.label.clone(), Arc::new(record));
+                self.remember_earlier_removal(item);
+            }
+        }
+        if let Some(record) = self.records[item.kind as usize].get(&item.label).cloned() {
+            self.add_to_lookups(&record);
+        }
+    }
 }
 
 /// An error is the outcome: a version comes twice with two contents.
--- a/crates/gateway/src/configuration/state/encoding.rs
+++ b/crates/gateway/src/configuration/state/encoding.rs
@@ -2,9 +2,11 @@
 //! state never holds up the event loop. Equal states give equal bytes. A state that contradicts itself is refused.
 //!
 //! Layout: the byte [`FORMAT`], a frame with the [`Header`], then frames of up to [`RECORDS_PER_FRAME`] records, by
-//! kind and name. A frame is its length (4 bytes, big-endian) and a MessagePack value. An earlier layout,
-//! [`FORMAT_WHOLE`] and one MessagePack value, is still read.
+//! kind and name. A frame is its length (4 bytes, big-endian) and a MessagePack value. A state that records removals has
+//! the byte [`FORMAT_WITH_REMOVALS`], and behind the records frames of its removed names, by kind and fingerprint; earlier
+//! releases can't read it. An earlier layout, [`FORMAT_WHOLE`] and one MessagePack value, is still read.
 
+use super::removal_record::{RemovalFrames, RemovalRecord, RemovedName};
 use super::{
     ConfigState, ConfigStateError, ItemKind, Record, KINDS, MAX_SUPERSEDED_VERSIONS, MAX_TOMBSTONES,
 };
@@ -12,8 +14,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-/// First byte of an encoded state.
+/// First byte of an encoded state that records no removals.
 const FORMAT: u8 = 3;
+/// First byte of an encoded state that records removals.
+const FORMAT_WITH_REMOVALS: u8 = 4;
 /// First byte of the earlier layout: one MessagePack value behind it.
 const FORMAT_WHOLE: u8 = 2;
 /// Most records in a frame.
@@ -29,6 +33,9 @@
     forgotten_up_to: [Option<u64>; KINDS],
     /// How many records follow.
     record_count: u64,
+    /// By kind, how many removed names follow the records; `None` in [`FORMAT`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    removal_counts: Option<[u64; KINDS]>,
 }
 
 /// The earlier layout. Serialized by position.
@@ -44,6 +51,8 @@
 pub struct StateEncoder {
     header: Option<Header>,
     records: VecDeque<Arc<Record>>,
+    /// By kind: the removed names.
+    removals: VecDeque<RemovalFrames>,
 }
 
 fn write_frame(out: &mut Vec<u8>, content: &impl Serialize) {
@@ -64,6 +73,12 @@
     Some((bytes.get(LENGTH_BYTES..end)?, end))
 }
 
+/// How many are missing after a frame with `decoded` of them.
+fn subtract_frame(missing: u64, decoded: usize) -> Result<u64, ConfigStateError> {
+    let missing = missing.checked_sub(decoded as u64).filter(|_| decoded > 0);
+    missing.ok_or(ConfigStateError::UnexpectedRecordCount)
+}
+
 fn unreadable(e: rmp_serde::decode::Error) -> ConfigStateError {
     ConfigStateError::Unreadable(e.to_string())
 }
@@ -72,15 +87,31 @@
     /// Appends the next frame; false: all are encoded.
     pub fn encode_frame(&mut self, out: &mut Vec<u8>) -> bool {
         if let Some(header) = self.header.take() {
-            out.push(FORMAT);
+            out.push(if header.removal_counts.is_some() { FORMAT_WITH_REMOVALS } else { FORMAT });
             write_frame(out, &header);
             return true;
         }
         let count = self.records.len().min(RECORDS_PER_FRAME);
         if count > 0 {
             write_frame(out, &self.records.drain(..count).collect::<Vec<_>>());
+            return true;
         }
-        count > 0
+        match self.next_removals() {
+            Some(names) => write_frame(out, &names),
+            None => return false,
+        }
+        true
+    }
+
+    fn next_removals(&mut self) -> Option<Vec<RemovedName>> {
+        while let Some(of_kind) = self.removals.front_mut() {
+            let names = of_kind.next_frame();
+            if names.is_some() {
+                return names;
+            }
+            self.removals.pop_front();
+        }
+        None
     }
 }
 
@@ -91,6 +122,8 @@
     missing_records: Option<u64>,
     /// Kind and name of the last record; they rise.
     previous: Option<(ItemKind, String)>,
+    /// By kind: removed names that are still to come.
+    missing_removals: [u64; KINDS],
 }
 
 impl Default for StateDecoder {
@@ -106,30 +139,54 @@
             state: ConfigState::with_history_limit(max_superseded),
             missing_records: None,
             previous: None,
+            missing_removals: Default::default(),
         }
     }
 
     /// Decodes the frame that these bytes begin with. Returns how many bytes it took: 0 if the frame is not complete
     /// yet, or if no more is expected.
     pub fn decode_frame(&mut self, bytes: &[u8]) -> Result<usize, ConfigStateError> {
-        let Some(missing) = self.missing_records else { return self.decode_header(bytes) };
-        let Some((content, end)) = split_frame(bytes).filter(|_| missing > 0) else { return Ok(0) };
+        match self.missing_records {
+            None => self.decode_header(bytes),
+            Some(0) => self.decode_removals(bytes),
+            Some(missing) => self.decode_records(missing, bytes),
+        }
+    }
+
+    fn decode_records(&mut self, missing: u64, bytes: &[u8]) -> Result<usize, ConfigStateError> {
+        let Some((content, end)) = split_frame(bytes) else { return Ok(0) };
         let records: Vec<Record> = rmp_serde::from_slice(content).map_err(unreadable)?;
-        let missing = missing.checked_sub(records.len() as u64).filter(|_| !records.is_empty());
-        let missing = missing.ok_or(ConfigStateError::UnexpectedRecordCount)?;
-        self.missing_records = Some(missing);
+        self.missing_records = Some(subtract_frame(missing, records.len())?);
         self.restore(records)?;
         Ok(end)
     }
 
+    fn decode_removals(&mut self, bytes: &[u8]) -> Result<usize, ConfigStateError> {
+        let Some(kind) = self.missing_removals.iter().position(|missing| *missing > 0) else { return Ok(0) };
+        let Some((content, end)) = split_frame(bytes) else { return Ok(0) };
+        let names: Vec<RemovedName> = rmp_serde::from_slice(content).map_err(unreadable)?;
+        self.missing_removals[kind] = subtract_frame(self.missing_removals[kind], names.len())?;
+        let records = self.state.removal_records.get_or_insert_default();
+        match records[kind].append(&names) {
+            true => Ok(end),
+            false => Err(ConfigStateError::UnorderedRemovals),
+        }
+    }
+
     fn decode_header(&mut self, bytes: &[u8]) -> Result<usize, ConfigStateError> {
-        match bytes.first() {
-            None => return Ok(0),
-            Some(&FORMAT) => {}
-            Some(&format) => return Err(ConfigStateError::Format(format)),
+        let Some(&format) = bytes.first() else { return Ok(0) };
+        if !matches!(format, FORMAT | FORMAT_WITH_REMOVALS) {
+            return Err(ConfigStateError::Format(format));
         }
         let Some((content, end)) = split_frame(&bytes[1..]) else { return Ok(0) };
         let header: Header = rmp_serde::from_slice(content).map_err(unreadable)?;
+        if header.removal_counts.is_some() != (format == FORMAT_WITH_REMOVALS) {
+            return Err(ConfigStateError::Format(format));
+        }
+        if let Some(counts) = header.removal_counts {
+            self.state.record_removals();
+            self.missing_removals = counts;
+        }
         self.state.last_change_index = header.last_change_index;
         self.state.next_sequence = header.next_sequence;
         self.state.forgotten_up_to = header.forgotten_up_to;
@@ -156,6 +213,10 @@
             Some(0) => {}
             Some(missing) => return Err(ConfigStateError::MissingRecords(missing)),
         }
+        match self.missing_removals.iter().fold(0, |sum: u64, missing| sum.saturating_add(*missing)) {
+            0 => {}
+            missing => return Err(ConfigStateError::MissingRemovals(missing)),
+        }
         let state = self.state;
         let unknown_service = state.routes_by_service.keys().find(|s| !state.is_active(ItemKind::Service, s));
         match unknown_service {
@@ -172,7 +233,7 @@
     /// Adds a decoded record. False: another record has one of its credentials or sequence numbers, or there are too
     /// many tombstones or superseded versions.
     fn restore(&mut self, record: Record) -> bool {
-        let has_own_credentials = self.add_to_lookups(&record.item).is_none();
+        let has_own_credentials = self.add_to_lookups(&record).is_none();
         let (kind, label) = (record.item.kind, Arc::<str>::from(record.item.label.as_str()));
         let mut has_own_sequences = true;
         for past in &record.history {
@@ -188,13 +249,17 @@
     /// An encoder of this state as it is now. Records are shared, not copied.
     pub fn encoder(&self) -> StateEncoder {
         let records: VecDeque<_> = self.records.iter().flat_map(BTreeMap::values).cloned().collect();
+        let removals = self.removal_records.iter().flatten().map(RemovalRecord::frames).collect();
+        let counts =
+            |records: &[RemovalRecord; KINDS]| records.each_ref().map(|of_kind| of_kind.len() as u64);
         let header = Header {
             last_change_index: self.last_change_index,
             next_sequence: self.next_sequence,
             forgotten_up_to: self.forgotten_up_to,
             record_count: records.len() as u64,
+            removal_counts: self.removal_records.as_ref().map(counts),
         };
-        StateEncoder { header: Some(header), records }
+        StateEncoder { header: Some(header), records, removals }
     }
 
     /// The whole state at once.
--- a/crates/gateway/src/configuration/state/history.rs
+++ b/crates/gateway/src/configuration/state/history.rs
@@ -1,6 +1,8 @@
-//! What is remembered of versions that are not current: superseded ones and tombstones, both bounded.
+//! What is remembered of versions that are not current: superseded ones and tombstones, both bounded, and for each
+//! removed name that has no tombstone any more the version of its removal.
 
-use super::{ConfigState, SupersededVersion, MAX_TOMBSTONES};
+use super::{ConfigState, SupersededVersion, Tombstone, MAX_TOMBSTONES};
+use crate::configuration::content_hash::semantic_hash;
 use crate::configuration::item::{ConfigItem, ItemKind};
 
 /// What is remembered of one version of a name.
@@ -24,13 +26,40 @@
                 return Recollection::Confirmed(record.history[at].hash);
             }
         }
-        let forgotten_up_to = record.map_or(self.forgotten_up_to[kind as usize], |r| r.forgotten_up_to);
+        if record.is_none() && self.recorded_removal(kind, label) == Some(version) {
+            return Recollection::Confirmed(semantic_hash(None));
+        }
+        let forgotten_up_to =
+            record.map_or_else(|| self.forgotten_version(kind, label), |r| r.forgotten_up_to);
         match Some(version) <= forgotten_up_to {
             true => Recollection::Forgotten,
             false => Recollection::NeverConfirmed,
         }
     }
 
+    /// Version of the removal of a name whose tombstone was dropped.
+    pub(super) fn recorded_removal(&self, kind: ItemKind, label: &str) -> Option<u64> {
+        self.removal_record(kind)?.removed_at_version(label)
+    }
+
+    /// Of a name without a record: up to this version it is not known what was confirmed.
+    pub(super) fn forgotten_version(&self, kind: ItemKind, label: &str) -> Option<u64> {
+        self.recorded_removal(kind, label).max(self.forgotten_up_to[kind as usize])
+    }
+
+    /// Can an item of this kind and name have existed at any time?
+    pub(super) fn may_have_existed(&self, kind: ItemKind, label: &str) -> bool {
+        self.record(kind, label).is_some() || self.forgotten_version(kind, label).is_some()
+    }
+
+    /// For a name that has just got a record again: remembers its last removal as a superseded version.
+    pub(super) fn remember_earlier_removal(&mut self, item: &ConfigItem) {
+        if let Some(version) = self.recorded_removal(item.kind, &item.label) {
+            let removal = ConfigItem { kind: item.kind, label: item.label.clone(), version, body: None };
+            self.remember_superseded(&removal, semantic_hash(None));
+        }
+    }
+
     /// Remembers that this version is confirmed, if it is lower than the current one.
     pub(super) fn remember_superseded(&mut self, item: &ConfigItem, hash: u64) {
         let sequence = self.next_sequence;
@@ -57,17 +86,22 @@
         }
     }
 
-    /// Forgets tombstones over the bound, those of the lowest versions, with all that is remembered of their names.
+    /// Drops the first tombstones over the bound, with all that is remembered of their names but the removal.
     pub(super) fn prune_tombstones(&mut self) {
         while self.tombstones.len() > MAX_TOMBSTONES {
-            let Some((version, kind, label)) = self.tombstones.pop_first() else { return };
+            let Some(Tombstone { version, kind, label, .. }) = self.tombstones.pop_first() else { return };
             if let Some(record) = self.records[kind as usize].remove(&label) {
                 for superseded in &record.history {
                     self.superseded.remove(&superseded.sequence);
                 }
             }
-            let forgotten_up_to = &mut self.forgotten_up_to[kind as usize];
-            *forgotten_up_to = (*forgotten_up_to).max(Some(version));
+            match &mut self.removal_records {
+                Some(records) => records[kind as usize].insert(&label, version),
+                None => {
+                    let forgotten_up_to = &mut self.forgotten_up_to[kind as usize];
+                    *forgotten_up_to = (*forgotten_up_to).max(Some(version));
+                }
+            }
         }
     }
 }
--- a/crates/gateway/src/configuration/state/lookups.rs
+++ b/crates/gateway/src/configuration/state/lookups.rs
@@ -1,14 +1,15 @@
-//! The lookups over the current versions: routes by service, tenants by credential, rates by tenant, tombstones by
-//! version. They follow from the records; an encoded state doesn't hold them.
+//! The lookups over the current versions: routes by service, tenants by credential, rates by tenant, tombstones in the
+//! order in which they are forgotten. They follow from the records; an encoded state doesn't hold them.
 
-use super::ConfigState;
+use super::{ConfigState, Record};
 use crate::configuration::item::{ConfigItem, ItemKind};
 use std::sync::Arc;
 
 impl ConfigState {
     /// Returns another tenant that had one of the item's credentials until now, if there was one.
-    pub(super) fn add_to_lookups(&mut self, item: &Arc<ConfigItem>) -> Option<Arc<ConfigItem>> {
-        let mut displaced = None;
+    pub(super) fn add_to_lookups(&mut self, record: &Record) -> Option<Arc<ConfigItem>> {
+        let (item, mut displaced) = (&record.item, None);
+        self.tombstones.extend(record.tombstone());
         match (item.kind, &item.body) {
             (ItemKind::Route, Some(body)) => {
                 for service in body.route_services() {
@@ -23,15 +24,16 @@
                 }
                 self.rates_by_tenant.insert(item.label.clone(), rate);
             }
-            (_, None) => {
-                self.tombstones.insert((item.version, item.kind, item.label.clone()));
-            }
             _ => {}
         }
         displaced
     }
 
-    pub(super) fn remove_from_lookups(&mut self, item: &ConfigItem) {
+    pub(super) fn remove_from_lookups(&mut self, record: &Record) {
+        let item = &record.item;
+        if let Some(tombstone) = record.tombstone() {
+            self.tombstones.remove(&tombstone);
+        }
         match (item.kind, &item.body) {
             (ItemKind::Route, Some(body)) => {
                 for service in body.route_services() {
@@ -48,9 +50,6 @@
                 }
                 self.rates_by_tenant.remove(&item.label);
             }
-            (_, None) => {
-                self.tombstones.remove(&(item.version, item.kind, item.label.clone()));
-            }
             _ => {}
         }
     }
--- a/crates/gateway/src/configuration/state/validation.rs
+++ b/crates/gateway/src/configuration/state/validation.rs
@@ -75,10 +75,8 @@
         proposed: &ProposedVersions,
     ) -> Option<ChangeError> {
         let body = item.body.as_ref().filter(|_| item.kind == ItemKind::Route)?;
-        let some_are_forgotten = self.forgotten_up_to[ItemKind::Service as usize].is_some();
         let may_have_existed = |service: &String| {
-            some_are_forgotten
-                || self.record(ItemKind::Service, service).is_some()
+            self.may_have_existed(ItemKind::Service, service)
                 || proposed.contains_key(&(ItemKind::Service, service.as_str()))
         };
         let service = body.route_services().into_iter().find(|s| !may_have_existed(s))?;
--- a/crates/gateway/src/configuration/state_tests.rs
+++ b/crates/gateway/src/configuration/state_tests.rs
@@ -14,25 +14,25 @@
     ConfigItem { kind, label: label.into(), version, body: body.as_object().map(ItemFields::from) }
 }
 
-fn removed(kind: ItemKind, label: &str, version: u64) -> ConfigItem {
+pub(super) fn removed(kind: ItemKind, label: &str, version: u64) -> ConfigItem {
     ConfigItem { kind, label: label.into(), version, body: None }
 }
 
-fn service(label: &str, version: u64, limit: u64) -> ConfigItem {
+pub(super) fn service(label: &str, version: u64, limit: u64) -> ConfigItem {
     upserted(ItemKind::Service, label, version, json!({ "label": label, "conn_limit": limit }))
 }
 
-fn route(label: &str, version: u64, service: &str) -> ConfigItem {
+pub(super) fn route(label: &str, version: u64, service: &str) -> ConfigItem {
     let body = json!({ "label": label, "hostname": "a.example", "path_prefix": "/", "service_ref": service });
     upserted(ItemKind::Route, label, version, body)
 }
 
-fn tenant(label: &str, version: u64, keys: &[&str]) -> ConfigItem {
+pub(super) fn tenant(label: &str, version: u64, keys: &[&str]) -> ConfigItem {
     upserted(ItemKind::Tenant, label, version, json!({ "label": label, "credentials": keys }))
 }
 
 /// 200 with an effect, 200 without, 409, 400, 503.
-fn outcome_name(outcome: &ChangeOutcome) -> &'static str {
+pub(super) fn outcome_name(outcome: &ChangeOutcome) -> &'static str {
     match outcome {
         ChangeOutcome::Applied(_) => "applied",
         ChangeOutcome::AlreadyApplied => "already applied",
@@ -51,6 +51,15 @@
 /// Superseded versions that the states under generated changes remember: few, so that they forget some.
 const SMALL_HISTORY_LIMIT: usize = 100;
 
+/// An empty state that remembers few superseded versions.
+fn small_state(records_removals: bool) -> ConfigState {
+    let mut state = ConfigState::with_history_limit(SMALL_HISTORY_LIMIT);
+    if records_removals {
+        state.record_removals();
+    }
+    state
+}
+
 /// The change as it is read from a log on the disk.
 fn encode_and_decode(change: &[ConfigItem]) -> Vec<ConfigItem> {
     rmp_serde::from_slice(&rmp_serde::to_vec(change).expect("encoded")).expect("decoded")
@@ -200,11 +209,10 @@
 fn confirmed_change_is_never_rejected_when_resent() {
     let mut seen: BTreeMap<&str, u32> = BTreeMap::new();
     let mut again: BTreeMap<&str, u32> = BTreeMap::new();
-    for seed in 0..60 {
+    for (seed, records_removals) in (0..60).flat_map(|seed| [(seed, false), (seed, true)]) {
         let mut generator =
             ChangeGenerator { rng: fastrand::Rng::with_seed(seed), clock: 0, bulk: seed % 3 == 0 };
-        let (mut state, mut sent) =
-            (ConfigState::with_history_limit(SMALL_HISTORY_LIMIT), Vec::<(Vec<ConfigItem>, bool)>::new());
+        let (mut state, mut sent) = (small_state(records_removals), Vec::<(Vec<ConfigItem>, bool)>::new());
         let mut contents: HashMap<(ItemKind, String, u64), u64> = HashMap::new();
         let mut highest: HashMap<(ItemKind, String), ConfigItem> = HashMap::new();
         for index in 1..500 {
@@ -327,14 +335,11 @@
 /// Members don't differ, whether they read the log from a disk or started from a snapshot.
 #[gtest]
 fn members_encode_the_same_bytes() {
-    for seed in 0..12 {
+    for (seed, records_removals) in (0..12).flat_map(|seed| [(seed, false), (seed, true)]) {
         let mut generator =
             ChangeGenerator { rng: fastrand::Rng::with_seed(2000 + seed), clock: 0, bulk: seed % 4 == 0 };
         let changes: Vec<Vec<ConfigItem>> = (0..400).map(|_| generator.change()).collect();
-        let (mut one, mut other) = (
-            ConfigState::with_history_limit(SMALL_HISTORY_LIMIT),
-            ConfigState::with_history_limit(SMALL_HISTORY_LIMIT),
-        );
+        let (mut one, mut other) = (small_state(records_removals), small_state(records_removals));
         for (index, change) in (1..).zip(&changes) {
             let outcome = one.apply(index, change);
             assert_that!(other.apply(index, &encode_and_decode(change)), eq(&outcome));
--- a/crates/gateway/src/control_plane/api_calls.rs
+++ b/crates/gateway/src/control_plane/api_calls.rs
@@ -5,7 +5,7 @@
 use crate::configuration::ConfigChange;
 use crate::control_plane::events::ApiCommand;
 use crate::discovery::{ShutdownAnnouncement, ShutdownPhase, Worker, WorkerPhase};
-use crate::protocol::LeaderRequest;
+use crate::protocol::{LeaderRequest, SHUTDOWN_RECORD_VERSION};
 use serde_json::{json, Value};
 use std::sync::Arc;
 
@@ -95,7 +95,7 @@
         announcement: ShutdownAnnouncement,
         out: &mut Vec<Effect>,
     ) {
-        if self.context.has_older_release() {
+        if self.context.has_release_before(SHUTDOWN_RECORD_VERSION) {
             let reason = error_body("a core node of an earlier release can't record shutdowns");
             return out.push(Effect::Respond(call, 503, reason));
         }
--- a/crates/gateway/src/control_plane/api_calls_tests.rs
+++ b/crates/gateway/src/control_plane/api_calls_tests.rs
@@ -1,11 +1,13 @@
 //! Calls at a core node that has no contact with a majority, or that has just started.
 
-use crate::control_plane::{ApiCommand, CoreNode, Effect, Event, TICK_SECS};
+use crate::configuration::{ConfigItem, ItemFields, ItemKind};
+use crate::control_plane::{ApiCommand, CoreContext, CoreNode, Effect, Event, TICK_SECS};
 use crate::discovery::{Worker, WorkerPhase};
-use crate::protocol::{PeerMessage, CORE_PROTOCOL_VERSION};
+use crate::protocol::{PeerMessage, CORE_PROTOCOL_VERSION, REMOVAL_RECORD_VERSION, SHUTDOWN_RECORD_VERSION};
 use crate::settings::Settings;
 use crate::storage::LoadedState;
 use googletest::prelude::*;
+use serde_json::json;
 use std::net::IpAddr;
 
 /// Seconds between two pings that reach the node under test.
@@ -149,3 +151,38 @@
         expect_that!(statuses.contains(&503), eq(refused));
     }
 }
+
+/// Guards against members that disagree during a rolling upgrade: removed names are recorded from an entry on that no
+/// core node of an earlier release can decode, so not before every voter is known to be able to.
+#[gtest]
+fn removals_are_recorded_only_once_every_voter_can_decode_the_entry() {
+    let service = |version| ConfigItem {
+        kind: ItemKind::Service,
+        label: "s".into(),
+        version,
+        body: json!({ "label": "s" }).as_object().map(ItemFields::from),
+    };
+    let ping = |version| PeerMessage::Ping { config_index: 0, workers_digest: 0, received: version };
+    let mut core = started_node(&[1]);
+    for (version, is_recording) in [(SHUTDOWN_RECORD_VERSION, false), (REMOVAL_RECORD_VERSION, true)] {
+        let mut out = Vec::new();
+        core.handle(1006.0, Event::PeerMessage(ip(2), ping(version)), &mut out);
+        core.handle(1006.0, Event::ApiCall(7, ApiCommand::Amend(vec![service(version)])), &mut out);
+        run(&mut core, 1006.0, 1006.2, out);
+        expect_that!(core.configuration.state.last_change_index(), gt(0));
+        expect_that!(core.configuration.state.records_removals(), eq(is_recording), "version {version}");
+    }
+    // A voter that has not named its version yet may be of an earlier release.
+    let mut context = CoreContext::new(1000.0, core.context.settings.clone());
+    context.voters = [ip(1), ip(2), ip(3)].into();
+    for (peer, version, is_supported) in
+        [(2, 2, false), (3, 1, false), (3, 2, true), (2, 1, false), (2, CORE_PROTOCOL_VERSION, true)]
+    {
+        context.record_protocol_version(ip(peer), version);
+        expect_that!(
+            context.all_voters_support(REMOVAL_RECORD_VERSION),
+            eq(is_supported),
+            "{peer}: {version}"
+        );
+    }
+}
--- a/crates/gateway/src/control_plane/configuration_service.rs
+++ b/crates/gateway/src/control_plane/configuration_service.rs
@@ -16,7 +16,7 @@
 use crate::consensus::{Index, LogPosition, NodeId, Raft, Term};
 use crate::control_plane::event_journal::JournalEvent;
 use crate::discovery::{AnnouncedShutdowns, ShutdownAnnouncement};
-use crate::protocol::{LeaderRequest, LeaderResponse, LogCommand, PeerMessage};
+use crate::protocol::{LeaderRequest, LeaderResponse, LogCommand, PeerMessage, REMOVAL_RECORD_VERSION};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt::{Display, Formatter};
@@ -196,7 +196,8 @@
         let deadline = context.now + CALL_TIMEOUT_SECS;
         let is_submitted = match request {
             LeaderRequest::Amend(change) => {
-                self.await_commit(raft.propose(log_time, LogCommand::Configure(change)), origin, deadline)
+                let command = self.configure_command(change, context);
+                self.await_commit(raft.propose(log_time, command), origin, deadline)
             }
             LeaderRequest::AnnounceShutdown(announcement) => match self.shutdowns.index_of(&announcement) {
                 // Recorded before: what is missing, at most, are copies of that entry.
@@ -223,6 +224,14 @@
         }
     }
 
+    /// The command for a change. Members begin to record removed names as soon as all of them can decode that command.
+    fn configure_command(&self, change: ConfigChange, context: &CoreContext) -> LogCommand {
+        match self.state.records_removals() || !context.all_voters_support(REMOVAL_RECORD_VERSION) {
+            true => LogCommand::Configure(change),
+            false => LogCommand::ConfigureAndRecordRemovals(change),
+        }
+    }
+
     fn await_commit(&mut self, proposed: Option<LogPosition>, origin: CallOrigin, deadline: f64) -> bool {
         if let Some(LogPosition { index, term }) = proposed {
             self.proposed.insert(index, ProposedChange { term, origin, deadline });
--- a/crates/gateway/src/control_plane/context.rs
+++ b/crates/gateway/src/control_plane/context.rs
@@ -6,7 +6,7 @@
 
 use crate::consensus::Millis;
 use crate::control_plane::event_journal::EventJournal;
-use crate::protocol::{NodeLocation, CORE_PROTOCOL_VERSION};
+use crate::protocol::NodeLocation;
 use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::IpAddr;
@@ -127,11 +127,18 @@
         self.protocol_versions.insert(ip, version);
     }
 
-    /// Whether a voter, or another core node in contact, is of an earlier release, which can't decode all messages of
-    /// this one. Such nodes exist during a rolling upgrade.
-    pub fn has_older_release(&self) -> bool {
+    /// Whether a voter, or another core node in contact, is of a release before this protocol version. Such nodes exist
+    /// during a rolling upgrade.
+    pub fn has_release_before(&self, protocol_version: u64) -> bool {
         let is_present = |ip: &IpAddr| self.voters.contains(ip) || self.is_reachable(self.now, ip);
-        self.protocol_versions.iter().any(|(ip, version)| *version < CORE_PROTOCOL_VERSION && is_present(ip))
+        self.protocol_versions.iter().any(|(ip, version)| *version < protocol_version && is_present(ip))
+    }
+
+    /// Whether all voters are known to be of this protocol version or a later one, and no core node in contact is of an
+    /// earlier one.
+    pub fn all_voters_support(&self, protocol_version: u64) -> bool {
+        let is_known = |ip: &IpAddr| *ip == self.me.ip || self.protocol_versions.contains_key(ip);
+        self.voters.iter().all(is_known) && !self.has_release_before(protocol_version)
     }
 
     /// Whether data on these nodes survives every loss that the settings tolerate. True if they are more nodes, in more
--- a/crates/gateway/src/control_plane/replicated_log.rs
+++ b/crates/gateway/src/control_plane/replicated_log.rs
@@ -4,7 +4,7 @@
 
 use super::snapshot::{self, SnapshotReceiver, SnapshotState, SnapshotWriter};
 use super::{CoreNode, Effect};
-use crate::configuration::{ConfigItem, ItemFields};
+use crate::configuration::{ConfigChange, ConfigItem, ItemFields};
 use crate::consensus::{
     Entry, EntryPayload, LogPosition, Message, Millis, NodeId, Output, RaftConfig, Snapshot,
 };
@@ -124,7 +124,7 @@
 /// Estimated size of a command in the log, in bytes.
 fn command_bytes(command: &LogCommand) -> usize {
     let variable_bytes: usize = match command {
-        LogCommand::Configure(change) => {
+        LogCommand::Configure(change) | LogCommand::ConfigureAndRecordRemovals(change) => {
             let item_bytes = |item: &ConfigItem| {
                 ITEM_OVERHEAD_BYTES + item.label.len() + item.body.as_ref().map_or(0, ItemFields::encoded_len)
             };
@@ -342,18 +342,24 @@
         let EntryPayload::Command(command) = entry.payload else { return };
         self.log_driver.applied_bytes += command_bytes(&command);
         match command {
-            LogCommand::Configure(change) => {
-                let applied = self.configuration.apply(position, &change, &self.raft, &mut self.context, out);
-                if let Some(applied) = applied {
-                    let items: Vec<ConfigItem> = applied.items.iter().map(|i| (**i).clone()).collect();
-                    self.send_config_update(applied.previous, position.index, items, out);
-                }
+            LogCommand::Configure(change) => self.apply_change(position, &change, out),
+            LogCommand::ConfigureAndRecordRemovals(change) => {
+                self.configuration.state.record_removals();
+                self.apply_change(position, &change, out);
             }
             LogCommand::Shares(ceilings) => self.apply_ceilings(position, ceilings),
             LogCommand::Shutdown(announcement) => self.apply_shutdown(position, &announcement, out),
         }
     }
 
+    /// Applies a change of the configuration, and sends edge nodes what it altered.
+    fn apply_change(&mut self, position: LogPosition, change: &ConfigChange, out: &mut Vec<Effect>) {
+        let applied = self.configuration.apply(position, change, &self.raft, &mut self.context, out);
+        let Some(applied) = applied else { return };
+        let items: Vec<ConfigItem> = applied.items.iter().map(|i| (**i).clone()).collect();
+        self.send_config_update(applied.previous, position.index, items, out);
+    }
+
     /// Applies a worker's shutdown announcement: to the record, and to the worker if it is registered here.
     fn apply_shutdown(
         &mut self,
--- a/crates/gateway/src/protocol/log_command.rs
+++ b/crates/gateway/src/protocol/log_command.rs
@@ -11,6 +11,10 @@
 pub enum LogCommand {
     /// A change of the configuration that an operator sent.
     Configure(ConfigChange),
+    /// A change like [`LogCommand::Configure`], before which each member begins to record removed names for good
+    /// ([`ConfigState::record_removals`](crate::configuration::ConfigState::record_removals)). All members begin at
+    /// the same entry: a member that records them accepts changes that one which doesn't leaves undetermined.
+    ConfigureAndRecordRemovals(ConfigChange),
     /// Ceilings of standing quota shares as the quota leader has them, in full or as a difference.
     Shares(Arc<ShareCeilings>),
     /// A worker's announcement that it shuts down.
--- a/crates/gateway/src/protocol/mod.rs
+++ b/crates/gateway/src/protocol/mod.rs
@@ -30,6 +30,10 @@
 };
 pub use share_ceilings::{EdgeCeilings, ShareCeilings, TenantCeiling};
 
-/// Version of what core nodes send each other, which they name in their pings; 0 in releases that named none. Version 1
-/// added [`LogCommand::Shutdown`], which a node of version 0 can't decode.
-pub const CORE_PROTOCOL_VERSION: u64 = 1;
+/// Version of what core nodes send each other, which they name in their pings; 0 in releases that named none. A node of
+/// an earlier version can't decode what a later one added.
+pub const CORE_PROTOCOL_VERSION: u64 = REMOVAL_RECORD_VERSION;
+/// The [`CORE_PROTOCOL_VERSION`] that added [`LogCommand::Shutdown`].
+pub const SHUTDOWN_RECORD_VERSION: u64 = 1;
+/// The [`CORE_PROTOCOL_VERSION`] that added [`LogCommand::ConfigureAndRecordRemovals`].
+pub const REMOVAL_RECORD_VERSION: u64 = 2;
--- a/crates/gateway/src/protocol/wire_fixture_tests.rs
+++ b/crates/gateway/src/protocol/wire_fixture_tests.rs
@@ -104,6 +104,11 @@
     phases.into_iter().zip(300..).map(|(p, index)| Entry { term: 3, index, payload: payload(p) }).collect()
 }
 
+fn removal_record_entries() -> Vec<Entry<LogCommand>> {
+    let command = LogCommand::ConfigureAndRecordRemovals(Arc::new(items()));
+    vec![Entry { term: 3, index: 300, payload: EntryPayload::Command(command) }]
+}
+
 fn raft(message: Message<LogCommand>) -> PeerMessage {
     PeerMessage::Consensus { from: id(v4(), 0), to: id(v6(), 0x1122_3344_5566_7788), message }
 }
@@ -176,6 +181,7 @@
         raft(append(entries(), Some(123_456))),
         raft(append(vec![], None)),
         raft(append(shutdown_entries(), None)),
+        raft(append(removal_record_entries(), None)),
         raft(Message::AppendEntriesResponse {
             term,
             heartbeat_seq: 17,
@@ -266,7 +272,10 @@
                 match &entry.payload {
                     EntryPayload::TermStart | EntryPayload::ConfChange(_) => {}
                     EntryPayload::Command(
-                        LogCommand::Configure(_) | LogCommand::Shares(_) | LogCommand::Shutdown(_),
+                        LogCommand::Configure(_)
+                        | LogCommand::ConfigureAndRecordRemovals(_)
+                        | LogCommand::Shares(_)
+                        | LogCommand::Shutdown(_),
                     ) => {}
                 }
             }
--- a/crates/simulation/src/control_calls.rs
+++ b/crates/simulation/src/control_calls.rs
@@ -34,6 +34,7 @@
             CallOrigin::Shutdown(n) => ApiCommand::Departure(self.workers[*n].id.to_string()),
             CallOrigin::LateHeartbeat { report, .. } => ApiCommand::Heartbeat(Worker::clone(report)),
             CallOrigin::PrimaryChange(items) => ApiCommand::Amend(items.clone()),
+            CallOrigin::ScriptedChange(index) => ApiCommand::Amend(self.plan.script[*index].items.clone()),
             CallOrigin::Change { order, .. } => {
                 ApiCommand::Amend(self.operator_records.orders[*order].items.clone())
             }
@@ -57,7 +58,9 @@
                 Participant::Worker(*n)
             }
             CallOrigin::LateHeartbeat { worker, .. } => Participant::Worker(*worker),
-            CallOrigin::PrimaryChange(_) | CallOrigin::PrimaryRead => Participant::Operator(0),
+            CallOrigin::PrimaryChange(_) | CallOrigin::ScriptedChange(_) | CallOrigin::PrimaryRead => {
+                Participant::Operator(0)
+            }
             CallOrigin::Change { operator, .. } | CallOrigin::Read { operator, .. } => {
                 Participant::Operator(operator + 1)
             }
@@ -145,6 +148,7 @@
                 let text = format!("REFUSED {:.3}: a valid change gets {status}", self.now);
                 self.auditor.violations.push(text);
             }
+            CallOrigin::ScriptedChange(index) => self.scripted_change_returned(index, status),
             CallOrigin::Change { .. } => {}
             CallOrigin::Read { operator, from } => self.read_returned(call.id, operator, from),
             CallOrigin::PrimaryChange(_) => {
@@ -170,10 +174,12 @@
                 self.schedule_after(0.01, SimulationEvent::HeartbeatDue(n));
             }
             CallOrigin::Departure(_) => {}
+            CallOrigin::ScriptedChange(index) if !self.plan.script[index].is_retried => {}
             // The unchanged call is retried at another core node.
-            CallOrigin::PrimaryChange(_) | CallOrigin::Shutdown(_) | CallOrigin::LateHeartbeat { .. } => {
-                self.retry_call(call, pause)
-            }
+            CallOrigin::PrimaryChange(_)
+            | CallOrigin::ScriptedChange(_)
+            | CallOrigin::Shutdown(_)
+            | CallOrigin::LateHeartbeat { .. } => self.retry_call(call, pause),
             CallOrigin::PrimaryRead => self.call(call.core + 1, CallOrigin::PrimaryRead),
         }
     }
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -59,6 +59,8 @@
     CreatingDisk(usize, u64, bool),
     /// The invariants are checked.
     InvariantCheck,
+    /// The scripted operator sends this change.
+    ScriptedChangeDue(usize),
     /// One of the concurrent operators takes a step.
     OperatorTurn(OperatorStep),
     /// A process that got SIGTERM ends, in this incarnation.
@@ -98,6 +100,8 @@
     },
     /// A change of the primary operator.
     PrimaryChange(Vec<ConfigItem>),
+    /// A change of the scripted operator, by its index.
+    ScriptedChange(usize),
     /// The final read of the primary operator.
     PrimaryRead,
     /// A change of a concurrent operator.
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod plan;
 pub mod primary_operator;
 pub mod repair_times;
+pub mod scripted_operator;
 pub mod severe_faults;
 pub mod snapshot_crashes;
 pub mod trials;
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -2,6 +2,7 @@
 
 use super::misbehaving_core::Misbehaviour;
 use super::operators::OperatorLoad;
+use super::scripted_operator::ScriptedChange;
 
 /// The parameters of a simulated deployment.
 #[derive(Clone, Debug)]
@@ -36,6 +37,8 @@
     pub unlimited: bool,
     /// The load of the concurrent operators.
     pub operator_load: OperatorLoad,
+    /// The changes of the scripted operator.
+    pub script: Vec<ScriptedChange>,
     /// Maximum number of changes of the primary operator.
     pub steps: Option<u64>,
     /// Number of additional services with 2048 bytes of fields each, created by the first change.
@@ -70,6 +73,7 @@
             disk_creation_step: 0.0,
             unlimited: false,
             operator_load: OperatorLoad::default(),
+            script: Vec::new(),
             steps: None,
             bulk: 0,
             sync: 0.004,
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -158,6 +158,7 @@
         }
         self.schedule_at(0.2, SimulationEvent::LinkCheck);
         self.schedule_at(1.0, SimulationEvent::OperatorActs);
+        self.start_script();
         self.schedule_at(4.0, SimulationEvent::ClientRequest);
         if self.plan.operator_load.operators > 0 {
             self.schedule_at(0.1, SimulationEvent::InvariantCheck);
@@ -240,6 +241,7 @@
                     self.advance_disk_creation(n, incarnation, cold_start)
                 }
                 SimulationEvent::InvariantCheck => self.check_invariants(),
+                SimulationEvent::ScriptedChangeDue(index) => self.send_scripted_change(index),
                 SimulationEvent::OperatorTurn(turn) => self.operator_turn(turn),
                 SimulationEvent::ProcessExited(n, incarnation) => self.process_exited(n, incarnation),
                 SimulationEvent::PartitionHeals(cut) => self.heal_partition(&cut),
--- a/crates/simulation/tests/scenarios/main.rs
+++ b/crates/simulation/tests/scenarios/main.rs
@@ -7,6 +7,7 @@
 mod core_repair;
 mod digest_tests;
 mod history_tests;
+mod item_removals;
 mod long_days;
 mod misbehaving_core;
 mod partitions;
