--- a/crates/gateway/src/cli/export.rs
+++ b/crates/gateway/src/cli/export.rs
@@ -12,6 +12,10 @@
 use serde_json::{json, Map, Value};
 use std::path::{Path, PathBuf};
 
+/// Name of a removed tenant that stands for those whose names are unknown, so that a system that imports the call keeps
+/// requiring credentials.
+const UNKNOWN_TENANT: &str = "removed tenants of unknown names";
+
 /// Failure to export a disk. Nothing on the disk was changed.
 #[derive(Debug, displaydoc::Display)]
 pub enum ExportError {
@@ -159,6 +163,11 @@
     for item in state.all_items() {
         items.merge((**item).clone());
     }
+    let has_tenants = items.iter().any(|item| item.kind == ItemKind::Tenant);
+    if state.has_had_tenants() && !has_tenants {
+        // All tenants were removed so long ago that their names are unknown.
+        items.merge(ConfigItem { label: UNKNOWN_TENANT.into(), ..ConfigItem::unnamed_removed_tenant() });
+    }
     let names: Vec<String> = members.iter().map(|m| format!("{}/{:x}", m.ip, m.disk)).collect();
     let origin = json!({
         "disk": format!("{:x}", stored.disk_id),
--- a/crates/gateway/src/cli/export_tests.rs
+++ b/crates/gateway/src/cli/export_tests.rs
@@ -2,6 +2,7 @@
 
 use crate::cli::export::{export, ExportError};
 use crate::configuration::parse_change;
+use crate::configuration::state::MAX_TOMBSTONES;
 use crate::control_plane::{ApiCommand, CoreNode, Effect, Event, TICK_SECS};
 use crate::settings::Settings;
 use crate::storage::tests::Folder;
@@ -186,3 +187,26 @@
     std::fs::remove_file(&database).expect("removed");
     expect_that!(export(&old.0).err(), some(matches_pattern!(ExportError::NoDisk(_))));
 }
+
+/// Guards against a new core, set up from an exported disk, that requires no credentials because the old one removed its last
+/// tenant: a short while ago, or so long ago that the tenant's name is unknown.
+#[gtest]
+fn imported_system_requires_credentials_as_the_exported_one_did() {
+    for later_removals in [0, 2 * MAX_TOMBSTONES] {
+        let folder = Folder::new(&format!("last-tenant-{later_removals}"));
+        let mut machine = SingleCore::start(&folder.0);
+        let tenant = json!({ "label": "t", "credentials": ["k"], "revision": "r1" });
+        expect_that!(machine.amend(&json!({ "upsert": { "tenant_set": [tenant] } })), eq(200));
+        let removal = |label: String| json!({ "label": label, "revision": "r2" });
+        expect_that!(machine.amend(&json!({ "remove": { "tenant_set": [removal("t".into())] } })), eq(200));
+        let routes: Vec<Value> = (0..later_removals).map(|n| removal(format!("r{n}"))).collect();
+        expect_that!(machine.amend(&json!({ "remove": { "route_set": routes } })), eq(200));
+        drop(machine);
+        let call = export(&folder.0).expect("exported").call;
+        let imported = Folder::new(&format!("last-tenant-imported-{later_removals}"));
+        let mut machine = SingleCore::start(&imported.0);
+        expect_that!(machine.core.configuration.state.has_had_tenants(), eq(false));
+        expect_that!(machine.amend(&call), eq(200));
+        expect_that!(machine.core.configuration.state.has_had_tenants(), eq(true), "{later_removals}");
+    }
+}
--- a/crates/gateway/src/configuration/active_config.rs
+++ b/crates/gateway/src/configuration/active_config.rs
@@ -96,7 +96,8 @@
     routes_by_host: Arc<HashMap<Arc<str>, Vec<Arc<Route>>>>,
     tenants_by_credential: Arc<HashMap<Arc<str>, Arc<Tenant>>>,
     tenants_by_label: Arc<HashMap<Arc<str>, Arc<Tenant>>>,
-    /// Whether requests need a credential: true if there is any tenant. Routes with `allows_anonymous` are exempt.
+    /// Whether requests need a credential: true from the first tenant on, also once all tenants are removed. Then no
+    /// credential is known. Routes with `allows_anonymous` are exempt.
     pub requires_credentials: bool,
     /// The client limits.
     pub client_limits: ClientLimits,
@@ -245,27 +246,48 @@
         ActiveConfig::from_items(items.iter())
     }
 
-    /// The view of these items, which may come in any order but have each name once. Removed items are ignored.
+    /// The view of these items, which may come in any order but have each name once. Of removed items only the kind
+    /// counts.
     #[cfg(test)]
     pub fn from_items<'a>(items: impl Iterator<Item = &'a ConfigItem>) -> Self {
-        let active: Vec<ActiveItem> = items.filter_map(ActiveItem::from_item).collect();
-        ActiveConfig::from_active_items(active.iter())
+        let items: Vec<&ConfigItem> = items.collect();
+        let active: Vec<ActiveItem> = items.iter().filter_map(|item| ActiveItem::from_item(item)).collect();
+        let kinds = items.iter().map(|item| item.kind).collect();
+        ActiveConfig::default().with_all_items(active.iter(), &kinds)
     }
 
     /// The view of all active items, in any order.
-    pub fn from_active_items<'a>(items: impl Iterator<Item = &'a ActiveItem>) -> Self {
+    pub fn from_active_items<'a>(items: impl Iterator<Item = &'a ActiveItem> + Clone) -> Self {
+        let kinds = items.clone().map(ActiveItem::kind).collect();
+        ActiveConfig::default().with_all_items(items, &kinds)
+    }
+
+    /// The view after an update with the full configuration: `items` are all active items, in any order, and `kinds`
+    /// those of the update, also of removed items.
+    pub fn with_all_items<'a>(
+        &self,
+        items: impl Iterator<Item = &'a ActiveItem>,
+        kinds: &BTreeSet<ItemKind>,
+    ) -> Self {
         let all = [ItemKind::Route, ItemKind::Tenant, ItemKind::Service, ItemKind::Saturation];
-        ActiveConfig::default().with_changed_kinds(items, &BTreeSet::from(all))
+        let requires_credentials = self.requires_credentials || kinds.contains(&ItemKind::Tenant);
+        ActiveConfig { requires_credentials, ..self.rebuilt(items, &BTreeSet::from(all)) }
     }
 
-    /// The view after a change. The `changed` kinds are rebuilt from `items`, which are all active items, as for
-    /// [`from_active_items`](ActiveConfig::from_active_items); the other kinds are shared with this view. The result
-    /// equals a full rebuild if `changed` contains the kind of every item that changed.
+    /// The view after an update with a difference. The `changed` kinds, also those of removed items, are rebuilt from
+    /// `items`, which are all active items; the other kinds are shared with this view. The result equals that of
+    /// [`with_all_items`](ActiveConfig::with_all_items) if `changed` contains the kind of every item that changed.
     pub fn with_changed_kinds<'a>(
         &self,
         items: impl Iterator<Item = &'a ActiveItem>,
         changed: &BTreeSet<ItemKind>,
     ) -> Self {
+        let requires_credentials = self.requires_credentials || changed.contains(&ItemKind::Tenant);
+        ActiveConfig { requires_credentials, ..self.rebuilt(items, changed) }
+    }
+
+    /// This view with the `changed` kinds rebuilt from the active items.
+    fn rebuilt<'a>(&self, items: impl Iterator<Item = &'a ActiveItem>, changed: &BTreeSet<ItemKind>) -> Self {
         let (mut routes, mut tenants, mut limits) = (Vec::new(), Vec::new(), None);
         for item in items.filter(|i| changed.contains(&i.kind())) {
             match item {
@@ -281,7 +303,6 @@
         }
         if changed.contains(&ItemKind::Tenant) {
             let (by_credential, by_label) = group_tenants(tenants);
-            view.requires_credentials = !by_label.is_empty();
             (view.tenants_by_credential, view.tenants_by_label) =
                 (Arc::new(by_credential), Arc::new(by_label));
         }
--- a/crates/gateway/src/configuration/item.rs
+++ b/crates/gateway/src/configuration/item.rs
@@ -46,6 +46,13 @@
     pub body: Option<ItemFields>,
 }
 
+impl ConfigItem {
+    /// Stands for removed tenants whose names don't matter. No tenant of an operator has an empty name.
+    pub fn unnamed_removed_tenant() -> Self {
+        ConfigItem { kind: ItemKind::Tenant, label: String::new(), version: 0, body: None }
+    }
+}
+
 /// The highest version of each item, removed ones included.
 #[derive(Clone, Debug, Default)]
 pub struct ItemSet {
--- a/crates/gateway/src/configuration/removal_tests.rs
+++ b/crates/gateway/src/configuration/removal_tests.rs
@@ -2,7 +2,7 @@
 
 use super::state::{ChangeOutcome, ConfigStateError, MAX_TOMBSTONES};
 use super::state_tests::{outcome_name, removed, route, service, tenant};
-use super::{ConfigItem, ConfigState, ItemKind};
+use super::{ActiveConfig, ConfigItem, ConfigState, ItemKind};
 use googletest::prelude::*;
 use std::collections::HashMap;
 use std::ops::Range;
@@ -243,6 +243,64 @@
     frames
 }
 
+/// Whether requests need a credential at an edge node that gets its first configuration from this state.
+fn requires_credentials_at_a_new_edge(state: &ConfigState) -> bool {
+    let update = state.full_update();
+    ActiveConfig::from_items(update.iter()).requires_credentials
+}
+
+/// Guards against credentials that are no longer required once the last tenant is removed (review/4): for an edge node that
+/// starts then, after a restart of the core from a snapshot, once the tombstones of the tenants are dropped, and with the
+/// data of earlier releases.
+#[gtest]
+fn credentials_stay_required_after_the_last_tenant_is_removed() {
+    for records_removals in [false, true] {
+        let mut state = if records_removals { recording_state() } else { ConfigState::default() };
+        let check = |state: &ConfigState, is_required: bool, what: &str| {
+            let decoded = ConfigState::decode(&state.encode()).expect("decoded");
+            for state in [state, &decoded] {
+                expect_that!(state.has_had_tenants(), eq(is_required), "{what}");
+                expect_that!(requires_credentials_at_a_new_edge(state), eq(is_required), "{what}");
+            }
+        };
+        expect_that!(apply(&mut state, 1, &[service("standing", SET, 1)]), eq("applied"));
+        check(&state, false, "no tenant yet");
+        let tenants = [tenant("t1", SET, &["k1"]), tenant("t2", SET, &["k2"])];
+        expect_that!(apply(&mut state, 2, &tenants), eq("applied"));
+        check(&state, true, "two tenants");
+        for (index, label) in [(3, "t1"), (4, "t2")] {
+            expect_that!(apply(&mut state, index, &[removed(ItemKind::Tenant, label, 2)]), eq("applied"));
+            check(&state, true, label);
+        }
+        let others: Vec<_> =
+            (0..2 * MAX_TOMBSTONES).map(|n| removed(ItemKind::Route, &format!("r{n}"), 9)).collect();
+        expect_that!(apply(&mut state, 5, &others), eq("applied"));
+        expect_that!(state.all_items().any(|item| item.kind == ItemKind::Tenant), eq(false));
+        check(&state, true, "tombstones dropped");
+        // A core that was upgraded then.
+        state.record_removals();
+        check(&state, true, "upgraded");
+    }
+}
+
+/// Guards against an answer that depends on the order of arrival: the change that sets a tenant comes after its removal.
+#[gtest]
+fn credentials_are_required_whatever_order_a_tenant_and_its_removal_arrive_in() {
+    let changes = [tenant("t", SET, &["k"]), removed(ItemKind::Tenant, "t", REMOVED)];
+    for order in [[0, 1], [1, 0]] {
+        let (mut state, mut view) = (recording_state(), ActiveConfig::default());
+        for (index, n) in order.into_iter().enumerate() {
+            if let ChangeOutcome::Applied(items) = state.apply(index as u64 + 1, &changes[n..n + 1]) {
+                let kinds = items.iter().map(|item| item.kind).collect();
+                view = view.with_changed_kinds([].iter(), &kinds);
+            }
+        }
+        expect_that!(state.body(ItemKind::Tenant, "t"), none());
+        expect_that!(view.requires_credentials, eq(true), "at an edge node that got each difference");
+        expect_that!(requires_credentials_at_a_new_edge(&state), eq(true));
+    }
+}
+
 /// A snapshot with removed names that is torn, or whose names are out of order, is never used.
 #[gtest]
 fn truncated_or_unordered_removal_record_is_refused() {
--- a/crates/gateway/src/configuration/replica.rs
+++ b/crates/gateway/src/configuration/replica.rs
@@ -35,7 +35,7 @@
     }
 
     /// All active items.
-    pub fn active_items(&self) -> impl Iterator<Item = &ActiveItem> {
+    pub fn active_items(&self) -> impl Iterator<Item = &ActiveItem> + Clone {
         self.active_items.values()
     }
 
--- a/crates/gateway/src/configuration/state.rs
+++ b/crates/gateway/src/configuration/state.rs
@@ -230,6 +230,26 @@
         self.records.iter().flat_map(BTreeMap::values).map(|r| &r.item)
     }
 
+    /// Was any tenant ever set or removed? True for good: all removed tenants are remembered, each by a tombstone, by an
+    /// entry of the removal record, or in `forgotten_up_to`. A removal counts, since the change that set the tenant may
+    /// be delayed.
+    pub fn has_had_tenants(&self) -> bool {
+        let tenants = ItemKind::Tenant as usize;
+        !self.records[tenants].is_empty()
+            || self.removal_record(ItemKind::Tenant).is_some_and(|record| !record.is_empty())
+            || self.forgotten_up_to[tenants].is_some()
+    }
+
+    /// What an edge node without a configuration is sent: the active items and, if there were tenants but none is
+    /// active, a removed one, which tells it that requests need a credential.
+    pub fn full_update(&self) -> Vec<ConfigItem> {
+        let mut items: Vec<ConfigItem> = self.active_items().map(|item| (**item).clone()).collect();
+        if self.rates_by_tenant.is_empty() && self.has_had_tenants() {
+            items.push(ConfigItem::unnamed_removed_tenant());
+        }
+        items
+    }
+
     /// The fields of an active item.
     #[cfg(test)]
     pub fn body(&self, kind: ItemKind, label: &str) -> Option<serde_json::Map<String, Value>> {
--- a/crates/gateway/src/configuration/state/removal_record.rs
+++ b/crates/gateway/src/configuration/state/removal_record.rs
@@ -48,6 +48,11 @@
         self.shards.values().map(|shard| shard.len()).sum()
     }
 
+    /// Whether no name was recorded yet.
+    pub(super) fn is_empty(&self) -> bool {
+        self.shards.is_empty()
+    }
+
     /// The version at which this name was removed; `None` if it was not.
     pub(super) fn removed_at_version(&self, label: &str) -> Option<u64> {
         let fingerprint = fingerprint(label);
--- a/crates/gateway/src/control_plane/edge_sessions.rs
+++ b/crates/gateway/src/control_plane/edge_sessions.rs
@@ -310,11 +310,10 @@
         let mut messages = Vec::new();
         let state = &self.configuration.state;
         if !std::mem::replace(&mut session.has_config, true) && !state.is_empty() {
-            let items: Vec<ConfigItem> = state.active_items().map(|i| (**i).clone()).collect();
             messages.push(PeerMessage::ConfigUpdate {
                 previous: None,
                 index: state.last_change_index(),
-                items,
+                items: state.full_update(),
             });
         }
         if session.workers_change.is_none() {
--- a/crates/gateway/src/data_plane/core_links.rs
+++ b/crates/gateway/src/data_plane/core_links.rs
@@ -3,7 +3,7 @@
 
 use super::{EdgeNode, Effect};
 use crate::configuration::replica::ReplicaUpdate;
-use crate::configuration::{ActiveConfig, ConfigItem, ItemKind};
+use crate::configuration::{ConfigItem, ItemKind};
 use crate::protocol::{NodeLocation, PeerMessage};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
@@ -168,7 +168,7 @@
         match self.replica.apply_update(previous, index, items) {
             ReplicaUpdate::Applied => {
                 let config = match is_full {
-                    true => ActiveConfig::from_active_items(self.replica.active_items()),
+                    true => self.active_config.with_all_items(self.replica.active_items(), &kinds),
                     false => self.active_config.with_changed_kinds(self.replica.active_items(), &kinds),
                 };
                 self.active_config = Arc::new(config);
--- a/crates/gateway/src/data_plane/core_links_tests.rs
+++ b/crates/gateway/src/data_plane/core_links_tests.rs
@@ -1,9 +1,11 @@
 //! Tests of the links to core nodes: to which addresses an edge node connects, and which links it closes.
 
 use super::{EdgeNode, Effect, Event, TICK_SECS};
+use crate::configuration::{ConfigItem, ItemKind};
 use crate::protocol::{NodeLocation, PeerMessage};
 use crate::settings::Settings;
 use googletest::prelude::*;
+use serde_json::{json, Value};
 use std::net::IpAddr;
 
 fn ip(n: u8) -> IpAddr {
@@ -64,3 +66,40 @@
     edge.handle(now, Event::CoreMessage(ip(1), core_nodes(&[1, 2, 3])), &mut out);
     expect_that!(is_connected(&out, 2), eq(true));
 }
+
+/// Guards against an edge node that stops requiring credentials: when the last tenant is removed, when it then gets a full
+/// configuration from a core node of an earlier release, which names no removed tenant, and when it has just started.
+#[gtest]
+fn edge_node_requires_credentials_from_the_first_tenant_on() {
+    let mut settings =
+        Settings::from_toml(include_str!("../../tests/fixtures/settings.toml")).expect("settings");
+    settings.seeds = vec![(ip(1), 80).into()];
+    let started = |incarnation| {
+        let mut edge = EdgeNode::new(settings.clone(), incarnation);
+        edge.start(&mut Vec::new());
+        edge
+    };
+    let item = |kind, label: &str, version, body: Option<Value>| ConfigItem {
+        kind,
+        label: label.into(),
+        version,
+        body: body.and_then(|body| body.as_object().map(Into::into)),
+    };
+    let service = || item(ItemKind::Service, "s", 1, Some(json!({ "label": "s" })));
+    let tenant = || item(ItemKind::Tenant, "t", 1, Some(json!({ "label": "t", "credentials": ["k"] })));
+    let removed_tenant = || item(ItemKind::Tenant, "t", 2, None);
+    let update = |previous, index, items| PeerMessage::ConfigUpdate { previous, index, items };
+    let after = |edge: &mut EdgeNode, message| {
+        edge.handle(1000.0, Event::CoreMessage(ip(1), message), &mut Vec::new());
+        edge.active_config.requires_credentials
+    };
+    let mut edge = started(1);
+    expect_that!(after(&mut edge, update(None, 1, vec![service()])), eq(false));
+    expect_that!(after(&mut edge, update(Some(1), 2, vec![tenant()])), eq(true));
+    expect_that!(after(&mut edge, update(Some(2), 3, vec![removed_tenant()])), eq(true));
+    expect_that!(edge.active_config.tenant_by_credential("k").is_none(), eq(true));
+    expect_that!(after(&mut edge, update(None, 4, vec![service()])), eq(true));
+    let mut late = started(2);
+    let items = vec![service(), ConfigItem::unnamed_removed_tenant()];
+    expect_that!(after(&mut late, update(None, 4, items)), eq(true));
+}
--- a/crates/gateway/src/protocol/message.rs
+++ b/crates/gateway/src/protocol/message.rs
@@ -62,7 +62,8 @@
         previous: Option<Index>,
         /// The entry that `items` brings the receiver to.
         index: Index,
-        /// Items; one without body is dropped.
+        /// Items; one without body is dropped. From the first tenant on, dropped or not, requests need a credential: a
+        /// full configuration whose tenants are all dropped has one dropped tenant with an empty name.
         items: Vec<ConfigItem>,
     },
     /// Workers whose state changed.
--- a/crates/simulation/tests/scenarios/main.rs
+++ b/crates/simulation/tests/scenarios/main.rs
@@ -8,6 +8,7 @@
 mod digest_tests;
 mod history_tests;
 mod item_removals;
+mod last_tenant;
 mod long_days;
 mod misbehaving_core;
 mod partitions;
