--- a/crates/gateway/src/configuration/state.rs
+++ b/crates/gateway/src/configuration/state.rs
@@ -21,20 +21,23 @@
 //! before that many others superseded it always gets a definite outcome.
 
 mod apply;
+mod decoding;
 mod encoding;
 mod history;
 mod lookups;
+mod record;
 mod removal_record;
 mod validation;
 
 use super::change::ChangeError;
 use super::fields::TenantRate;
 use super::item::{items_to_json, ConfigItem, ItemKind};
-pub use encoding::{StateDecoder, StateEncoder};
+pub use decoding::StateDecoder;
+pub use encoding::StateEncoder;
+use record::{Record, SupersededVersion, Tombstone};
 use removal_record::RemovalRecord;
-use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// Superseded versions that are remembered, over all names together; those superseded last stay.
@@ -94,61 +97,6 @@
 
 impl std::error::Error for ConfigStateError {}
 
-/// A confirmed version that was superseded. Serialized by position.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct SupersededVersion {
-    version: u64,
-    hash: u64,
-    /// Position in the order in which versions of all names were superseded.
-    sequence: u64,
-}
-
-/// What is known of a name. Serialized by position.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Record {
-    /// The current version.
-    item: Arc<ConfigItem>,
-    /// Hash of its content.
-    hash: u64,
-    /// Lower versions that were confirmed, rising.
-    history: VecDeque<SupersededVersion>,
-    /// Highest forgotten version: up to it, only the versions in `history` are known to have been confirmed.
-    forgotten_up_to: Option<u64>,
-    /// Index of the entry that removed the item; 0 for an active item, and where the removal record was not kept yet.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    removed_at: u64,
-}
-
-fn is_zero(number: &u64) -> bool {
-    *number == 0
-}
-
-/// A removed item that has a record. The order is that in which they are forgotten: those removed first go first, then,
-/// as long as no removal record is kept, those of the lowest versions.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Tombstone {
-    removed_at: u64,
-    version: u64,
-    kind: ItemKind,
-    label: String,
-}
-
-impl Record {
-    /// `None` for an active item.
-    fn tombstone(&self) -> Option<Tombstone> {
-        let ConfigItem { kind, label, version, body } = &*self.item;
-        let (removed_at, version, kind) = (self.removed_at, *version, *kind);
-        body.is_none().then(|| Tombstone { removed_at, version, kind, label: label.clone() })
-    }
-
-    /// Could [`ConfigState::apply`] have left it like this?
-    fn is_consistent(&self) -> bool {
-        let versions = || self.history.iter().map(|p| p.version).chain([self.item.version]);
-        let is_rising = versions().zip(versions().skip(1)).all(|(a, b)| a < b);
-        is_rising && Some(self.item.version) > self.forgotten_up_to
-    }
-}
-
 /// The configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ConfigState {
