A version that is too old: the 503 names the item and the version that is accepted

Change: ChangeOutcome::Indeterminate carries a ForgottenVersion; the text begins as before. Tests match the variant's new form, with the same assertions.

--- a/crates/gateway/src/configuration/removal_tests.rs
+++ b/crates/gateway/src/configuration/removal_tests.rs
@@ -148,6 +148,12 @@
     let (before, index) = state_after_removals(ConfigState::default(), 2 * MAX_TOMBSTONES);
     let newcomer = |version| [tenant("newcomer", version, &["k"])];
     let mut earlier_release = before.clone();
+    let outcome = earlier_release.apply(index + 1, &newcomer(SET));
+    let ChangeOutcome::Indeterminate(forgotten) = outcome else { panic!("{outcome:?}") };
+    // The text tells the operator which version is accepted.
+    let text =
+        "version too old to know whether it was accepted before: tenant_set \"newcomer\": r1, not above r2";
+    expect_that!(forgotten.to_string(), eq(text));
     expect_that!(apply(&mut earlier_release, index + 1, &newcomer(REMOVED)), eq("indeterminate"));
     let mut from_disk = ConfigState::decode(&before.encode()).expect("decoded");
     let mut in_memory = before;
@@ -189,7 +195,7 @@
                 })
                 .collect();
             let outcome = state.apply(index, &change);
-            if outcome == ChangeOutcome::Indeterminate {
+            if matches!(outcome, ChangeOutcome::Indeterminate(_)) {
                 let may_be_old = change
                     .iter()
                     .any(|i| highest.get(&i.label).is_some_and(|(version, _)| *version >= i.version));
--- a/crates/gateway/src/configuration/state.rs
+++ b/crates/gateway/src/configuration/state.rs
@@ -59,7 +59,31 @@
     /// HTTP 400: the configuration would be invalid with it.
     Invalid(ChangeError),
     /// HTTP 503: one of its versions is older than what is remembered, so it is not known whether it was confirmed.
-    Indeterminate,
+    Indeterminate(ForgottenVersion),
+}
+
+/// A version of which it is not known whether it was confirmed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ForgottenVersion {
+    /// The operator's name of the item's set.
+    pub set: &'static str,
+    /// Name of the item.
+    pub label: String,
+    /// The version.
+    pub version: u64,
+    /// Up to this version of the name it is not known what was confirmed. Higher ones get a definite outcome.
+    pub forgotten_up_to: u64,
+}
+
+impl std::fmt::Display for ForgottenVersion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let ForgottenVersion { set, label, version, forgotten_up_to } = self;
+        write!(
+            f,
+            "version too old to know whether it was accepted before: {set} {label:?}: r{version}, not above \
+             r{forgotten_up_to}"
+        )
+    }
 }
 
 /// Why bytes are not an encoded state.
--- a/crates/gateway/src/configuration/state/apply.rs
+++ b/crates/gateway/src/configuration/state/apply.rs
@@ -1,7 +1,7 @@
 //! Applying a change: compare its versions with what is remembered, validate, then make them current.
 
 use super::history::Recollection;
-use super::{ChangeOutcome, ConfigState, Record};
+use super::{ChangeOutcome, ConfigState, ForgottenVersion, Record};
 use crate::configuration::change::ChangeError;
 use crate::configuration::content_hash::{semantic_hash, verbatim_hash};
 use crate::configuration::fields::ItemFields;
@@ -82,7 +82,7 @@
     /// An error is the outcome of the change.
     fn compare<'a>(&self, proposed: &ProposedVersions<'a>) -> Result<Comparison<'a>, ChangeOutcome> {
         let (mut new, mut unconfirmed) = (NewVersions::new(), Vec::new());
-        let mut is_indeterminate = false;
+        let mut forgotten = None;
         for (&(kind, label), versions) in proposed {
             for (&version, proposed_item) in versions {
                 match self.recall(kind, label, version) {
@@ -91,7 +91,9 @@
                         return Err(conflict(proposed_item.item));
                     }
                     Recollection::Confirmed(_) => {}
-                    Recollection::Forgotten => is_indeterminate = true,
+                    Recollection::Forgotten { up_to } => {
+                        forgotten.get_or_insert_with(|| forgotten_version(proposed_item.item, up_to));
+                    }
                     Recollection::NeverConfirmed => unconfirmed.push(*proposed_item),
                 }
             }
@@ -101,9 +103,9 @@
                 new.insert((kind, label), highest);
             }
         }
-        match is_indeterminate {
-            true => Err(ChangeOutcome::Indeterminate),
-            false => Ok(Comparison { new, unconfirmed }),
+        match forgotten {
+            Some(forgotten) => Err(ChangeOutcome::Indeterminate(forgotten)),
+            None => Ok(Comparison { new, unconfirmed }),
         }
     }
 
@@ -175,6 +177,11 @@
     Ok(proposed)
 }
 
+fn forgotten_version(item: &ConfigItem, forgotten_up_to: u64) -> ForgottenVersion {
+    let (set, label) = (item.kind.set_name(), item.label.clone());
+    ForgottenVersion { set, label, version: item.version, forgotten_up_to }
+}
+
 fn conflict(item: &ConfigItem) -> ChangeOutcome {
     let (set, label) = (item.kind.set_name(), item.label.clone());
     ChangeOutcome::Conflict(ChangeError::VersionContentMismatch { set, label, version: item.version })
--- a/crates/gateway/src/configuration/state/history.rs
+++ b/crates/gateway/src/configuration/state/history.rs
@@ -11,8 +11,11 @@
     Confirmed(u64),
     /// The version was not confirmed.
     NeverConfirmed,
-    /// The version is older than the history; whether it was confirmed is not known.
-    Forgotten,
+    /// Whether the version was confirmed is not known, as of no version up to this one that is not in the history.
+    Forgotten {
+        /// The highest such version.
+        up_to: u64,
+    },
 }
 
 impl ConfigState {
@@ -31,9 +34,9 @@
         }
         let forgotten_up_to =
             record.map_or_else(|| self.forgotten_version(kind, label), |r| r.forgotten_up_to);
-        match Some(version) <= forgotten_up_to {
-            true => Recollection::Forgotten,
-            false => Recollection::NeverConfirmed,
+        match forgotten_up_to.filter(|up_to| version <= *up_to) {
+            Some(up_to) => Recollection::Forgotten { up_to },
+            None => Recollection::NeverConfirmed,
         }
     }
 
--- a/crates/gateway/src/configuration/state_tests.rs
+++ b/crates/gateway/src/configuration/state_tests.rs
@@ -38,7 +38,7 @@
         ChangeOutcome::AlreadyApplied => "already applied",
         ChangeOutcome::Conflict(_) => "conflict",
         ChangeOutcome::Invalid(_) => "invalid",
-        ChangeOutcome::Indeterminate => "indeterminate",
+        ChangeOutcome::Indeterminate(_) => "indeterminate",
     }
 }
 
@@ -228,7 +228,7 @@
             if *confirmed {
                 *again.entry(outcome_name(&outcome)).or_default() += 1;
                 assert_that!(
-                    matches!(outcome, ChangeOutcome::AlreadyApplied | ChangeOutcome::Indeterminate),
+                    matches!(outcome, ChangeOutcome::AlreadyApplied | ChangeOutcome::Indeterminate(_)),
                     eq(true),
                     "{outcome:?}"
                 );
@@ -312,7 +312,7 @@
                 (ChangeOutcome::Invalid(ChangeError::UnknownService { service, .. }), Ok(_)) => {
                     assert_that!(never(service.clone()), eq(true), "{change:?}");
                 }
-                (ChangeOutcome::Conflict(_) | ChangeOutcome::Indeterminate, _) => {}
+                (ChangeOutcome::Conflict(_) | ChangeOutcome::Indeterminate(_), _) => {}
                 (outcome, full) => panic!("{change:?}: {outcome:?}, on clones {full:?}"),
             }
             match outcome {
--- a/crates/gateway/src/control_plane/configuration_service.rs
+++ b/crates/gateway/src/control_plane/configuration_service.rs
@@ -305,9 +305,8 @@
             ChangeOutcome::AlreadyApplied => (LeaderResponse::Accepted, Vec::new()),
             ChangeOutcome::Conflict(error) => (LeaderResponse::Rejected(409, error.to_string()), Vec::new()),
             ChangeOutcome::Invalid(error) => (LeaderResponse::Rejected(400, error.to_string()), Vec::new()),
-            ChangeOutcome::Indeterminate => {
-                let reason = "version too old to know whether it was accepted before";
-                (LeaderResponse::Undetermined(reason.into()), Vec::new())
+            ChangeOutcome::Indeterminate(forgotten) => {
+                (LeaderResponse::Undetermined(forgotten.to_string()), Vec::new())
             }
         };
         record_outcome(position.index, &response, &changed, context);
