Scripted operator of the simulation: no unread field, no copy of the script

Need: read again before the landing. `statuses` was written and never read, the whole script was cloned to schedule its timed changes, and a comment in item_removals named other changes than those that are sent again. Change: these three; events and draws stay.

--- a/crates/simulation/src/scripted_operator.rs
+++ b/crates/simulation/src/scripted_operator.rs
@@ -26,8 +26,6 @@
     pub sent_at: Option<f64>,
     /// When its operator first received a 200.
     pub acknowledged_at: Option<f64>,
-    /// The statuses that its operator received.
-    pub statuses: Vec<u16>,
 }
 
 impl ScriptedChange {
@@ -39,22 +37,20 @@
             is_retried: true,
             sent_at: None,
             acknowledged_at: None,
-            statuses: Vec::new(),
         }
     }
 
     /// The same change, sent once at `at` simulated seconds.
     pub fn repeated_at(&self, at: f64) -> Self {
-        let start = ScriptedStart::At(at);
-        ScriptedChange { items: self.items.clone(), start, is_retried: false, statuses: Vec::new(), ..*self }
+        ScriptedChange { start: ScriptedStart::At(at), is_retried: false, ..self.clone() }
     }
 }
 
 impl World {
     /// Schedules the changes that have a time.
     pub(crate) fn start_script(&mut self) {
-        for (index, change) in self.plan.script.clone().iter().enumerate() {
-            if let ScriptedStart::At(at) = change.start {
+        for index in 0..self.plan.script.len() {
+            if let ScriptedStart::At(at) = self.plan.script[index].start {
                 self.schedule_at(at, SimulationEvent::ScriptedChangeDue(index));
             }
         }
@@ -68,12 +64,11 @@
 
     pub(crate) fn scripted_change_returned(&mut self, index: usize, status: u16) {
         let now = self.now;
-        let change = &mut self.plan.script[index];
-        change.statuses.push(status);
         if status != 200 {
             let text = format!("REFUSED {now:.3}: the valid scripted change {index} gets {status}");
             return self.auditor.violations.push(text);
         }
+        let change = &mut self.plan.script[index];
         let is_first = change.acknowledged_at.is_none();
         change.acknowledged_at.get_or_insert(now);
         let next = self.plan.script.get(index + 1).map(|next| next.start);
--- a/crates/simulation/tests/scenarios/item_removals.rs
+++ b/crates/simulation/tests/scenarios/item_removals.rs
@@ -51,7 +51,8 @@
         "route_set": of_kind("route") } })
 }
 
-/// All rounds one after the other, then the first three changes of the first and of two later rounds again, then newcomers.
+/// All rounds one after the other, then six changes of early rounds again, some of which set items and some of which remove
+/// them, then newcomers.
 fn script() -> Vec<ScriptedChange> {
     let mut script = Vec::new();
     for round in 0..ROUNDS {
